--- /dev/null
+++ b/mastledge/__init__.py
@@ -0,0 +1,1 @@
+"""mastledge: a dispatcher that pushes jobs to workers."""
--- /dev/null
+++ b/mastledge/adapter/settings.py
@@ -0,0 +1,120 @@
+"""From the wire's start-up pairs to the plain map of settings that the decisions are handed."""
+
+
+class BadSetting(ValueError):
+    """A required setting is missing or unreadable; the text names its key."""
+
+
+def us(text):
+    return round(float(text) * 1000)
+
+
+def flag(text):
+    if text not in ("true", "false"):
+        raise ValueError(text)
+    return text == "true"
+
+
+def words(text):
+    return [word for word in text.split(",") if word]
+
+
+def numbers(text):
+    return [float(word) for word in words(text)]
+
+
+REQUIRED = object()
+
+# ours: (the wire's path, how its text is read, what stands in when it is absent)
+PLAIN = {
+    "dispatchers": ("balancers", int, REQUIRED),
+    "me": ("me", int, REQUIRED),
+    "zone": ("locality", int, 0),
+    "step": ("stepMs", us, REQUIRED),
+    "follow": ("discovery", str, REQUIRED),
+    "excess_utility": ("excessUtility", float, 1.0),
+    "utility_basis": ("utilityBasis", str, "request"),
+    "tells_start": ("familyInfo.tellsStart", flag, False),
+    "progress_every": ("familyInfo.progressMs", us, 0),
+    "queue_order": ("familyInfo.queueOrder", str, "fifo"),
+    "may_revoke": ("limits.cancel", flag, False),
+    "may_probe": ("limits.mayProbe", flag, False),
+    "may_hold_off": ("limits.retryAfter", flag, False),
+    "most_hold_off": ("limits.maxRetryAfterMs", us, 0),
+    "parallel": ("limits.parallelTries", flag, False),
+    "launches": ("limits.maxLaunches", int, REQUIRED),
+    "connect_timeout": ("limits.connectTimeoutMs", us, 250_000),
+    "cpu_a_second": ("limits.cpuUsPerS", float, 0.0),
+    "cpu_a_job": ("limits.cpuUsPerRequest", float, 0.0),
+    "answer_slack": ("rules.answerSlackMs", us, 0),
+    "ask_within": ("rules.askWithinMs", us, 0),
+    "cold_from": ("rules.coldFrom", float, REQUIRED),
+    "cold_for": ("rules.coldMs", us, REQUIRED),
+    "fall_for": ("rules.fallMs", us, REQUIRED),
+    "fall_multiple": ("rules.fallMultiple", float, REQUIRED),
+    "grace": ("rules.stopSendingWithinMs", us, REQUIRED),
+    "report_how": ("loadInfo.how", str, "silent"),
+    "report_fields": ("loadInfo.fields", words, ()),
+    "price_crossing": ("prices.crossZone", float, 0.0),
+    "price_probe": ("prices.probe", float, 0.0),
+    "price_waste": ("prices.waste", float, 0.0),
+    "price_late": ("prices.lateFail", float, 0.0),
+}
+QUEUE_TYPE = {
+    "target": ("targetTurnaroundMs", us, REQUIRED),
+    "walltime": ("walltimeMs", us, REQUIRED),
+    "effect": ("idempotency", str, REQUIRED),
+    "group": ("dedupScope", str, "all"),
+    "window": ("windowMs", us, 0),
+    "utility": ("utility", float, 1.0),
+    "late_utility": ("overdueUtility", float, 0.0),
+    "aim_stretch": ("aimStretch", float, 0.0),
+}
+TENANT = {"portion": ("portion", float, 0.0), "quota": ("quotaPerS", float, 0.0)}
+EFFECT = {"pure": "restartable", "token": "deduplicated", "side_effect": "run-once"}
+REPORT = {"outstanding": "outstanding", "backlog": "backlog", "utilization": "busy", "x0": "free_slots",
+          "x1": "free_memory"}
+
+
+def read(pairs, path, kind, absent):
+    text = pairs.get(path)
+    if text is None:
+        if absent is REQUIRED:
+            raise BadSetting(f"setting {path} is missing")
+        return absent
+    try:
+        return kind(text)
+    except ValueError:
+        raise BadSetting(f"setting {path} cannot be read: {text!r}") from None
+
+
+def listed(pairs, path, table):
+    return [
+        {ours: read(pairs, f"{path}.{i}.{name}", *how) for ours, (name, *how) in table.items()}
+        for i in range(read(pairs, f"{path}.count", int, 0))
+    ]
+
+
+def plain_map(text):
+    pairs = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
+    settings = {ours: read(pairs, *how) for ours, how in PLAIN.items()}
+    settings["follow"] = {"pushed": "pushed", "on_request": "asked"}.get(settings["follow"])
+    if settings["follow"] is None:
+        raise BadSetting(f"setting discovery cannot be read: {pairs['discovery']!r}")
+    settings["report_fields"] = [REPORT.get(name, name) for name in settings["report_fields"]]
+    settings["tenants"] = listed(pairs, "tenants", TENANT)
+    settings["queue_types"] = types = listed(pairs, "queueTypes", QUEUE_TYPE)
+    if not types:
+        raise BadSetting("setting queueTypes.count is missing or 0")
+    a_type = {name: read(pairs, f"familyInfo.{name}", numbers, [])
+              for name in ("classKind", "classPriority", "classStretch")}
+    for i, qt in enumerate(types):
+        if qt["effect"] not in EFFECT:
+            raise BadSetting(f"setting queueTypes.{i}.idempotency cannot be read: {qt['effect']!r}")
+        if qt["group"] not in ("all", "zone", "cell"):
+            raise BadSetting(f"setting queueTypes.{i}.dedupScope cannot be read: {qt['group']!r}")
+        qt["effect"] = EFFECT[qt["effect"]]
+        for ours, name, absent in (("kind", "classKind", -1), ("priority", "classPriority", 0),
+                                   ("stretch", "classStretch", qt.pop("aim_stretch") or 0.0)):
+            qt[ours] = a_type[name][i] if i < len(a_type[name]) else absent
+    return settings
--- /dev/null
+++ b/mastledge/balance.py
@@ -0,0 +1,584 @@
+"""Every decision of one dispatcher; docs/interface.md describes the calls, docs/design.md the reasons.
+
+The host makes one Balancer an instance from a plain map of settings, a seed and the clock (whole
+microseconds). It reports what happened by members, arrived, started, progress, ended, probed, streaming and
+abandoned, which only update what is known; then it calls decide(now) until that gives None, and again no
+later than wake_at().
+"""
+
+from bisect import bisect_left, insort
+from collections import deque
+from heapq import heappop, heappush
+from zlib import crc32
+
+GAIN = 0.125  # the paper's alpha and beta
+SPREAD = 1.0  # the paper's kappa
+FIRST_SLOTS = 8.0  # the design's start where no worker has shown its slots
+NEVER_RAN = ("full", "unreachable", "unsent")
+KEYS_KEPT = 4096
+
+
+class Estimate:
+    """The paper's upper bound estimator (section 5.1)."""
+
+    __slots__ = ("mean", "var", "n")
+
+    def __init__(self, mean, var):
+        self.mean, self.var, self.n = mean, var, 0
+
+    def learn(self, y):
+        if self.n:
+            self.var += GAIN * (abs(self.mean - y) - self.var)
+            self.mean += GAIN * (y - self.mean)
+        else:
+            self.mean, self.var = y, y / 2
+        self.n += 1
+
+
+class Worker:
+    __slots__ = ("id", "zone", "kind", "cell", "units", "state", "born", "out", "curve", "load", "running",
+                 "slots", "peak", "slow", "slow_at", "extra", "extra_at", "heard", "quick", "errors", "aside",
+                 "back_at", "pause", "trickle", "spent")
+
+    def __init__(self, wkr_id, slots):
+        self.id, self.slots = wkr_id, slots
+        self.state = "ready"
+        self.fresh(0)
+
+    def fresh(self, born):
+        """A new life: what was out on the former one must not weigh on it, and it is cold again."""
+        self.born, self.out, self.curve, self.load, self.running, self.peak = born, {}, [], 0.0, 0.0, 1.0
+        self.slow, self.slow_at, self.extra, self.extra_at, self.heard, self.quick = 1.0, 0, 0.0, 0, 0, None
+        self.errors, self.aside, self.back_at, self.pause, self.trickle = 0.0, "", 0, 0, 1
+        self.spent = deque()
+
+
+class Job:
+    __slots__ = ("id", "qt", "key", "hint", "load", "tenant", "arrived", "target_at", "last", "launches",
+                 "out", "closed", "streaming", "mean", "var", "held", "again")
+
+
+class Launch:
+    __slots__ = ("job", "wkr", "n", "sent", "began", "load", "mean", "entry", "ended", "may_have_run",
+                 "revoked", "told")
+
+
+class Balancer:
+    def __init__(self, settings, seed, now):
+        self.settings, self.seed, self.draws = settings, seed, 0
+        self.queue_types = settings["queue_types"]
+        for qt in self.queue_types:
+            qt["ratio"], qt["run"] = Estimate(1.0, 0.5), Estimate(float(qt["target"]), qt["target"] / 2)
+            qt["most_patience"] = 0
+        self.best_utility = max(qt["utility"] for qt in self.queue_types) or 1.0
+        self.run = Estimate(float(min(qt["target"] for qt in self.queue_types)), 0.0)
+        self.lag = Estimate(4.0 * settings["step"], 4.0 * settings["step"])
+        self.keys, self.workers, self.ready, self.jobs = {}, {}, [], {}
+        self.todo, self.stops, self.held, self.due, self.dues = deque(), deque(), deque(), [], 0
+        self.spare = 2.0
+        self.tidy_at = now
+        self.following, self.fails, self.ask_at = settings["follow"] == "pushed", 0, None
+        if not self.following:
+            # Dispatchers restarted together must not ask in step.
+            self.ask_at = now + int(self.chance() * 100 * settings["step"])
+        self.rates = [0.0] * max(1, len(settings["tenants"]))
+        self.rates_at = now
+
+    def chance(self):
+        self.draws += 1
+        return crc32(b"%d %d" % (self.seed, self.draws)) / 4294967296.0
+
+    def remind(self, when, what):
+        self.dues += 1
+        heappush(self.due, (when, self.dues, what))
+
+    # Inputs
+
+    def members(self, now, kind, entries):
+        if kind == "failed":
+            self.following = False
+            self.fails += 1
+            # Back-off with jitter, but well inside the time after which this dispatcher counts as told.
+            wait = min((1 << min(self.fails, 6)) * 250_000, self.settings["ask_within"] // 4 or 1_000_000)
+            self.ask_at = now + int(wait * (0.5 + self.chance() / 2))
+            return
+        if kind != "cached":
+            self.following, self.fails, self.ask_at = True, 0, None
+        named = set()
+        for zone, wkr_id, state, born, cls, cell, units in entries:
+            named.add(wkr_id)
+            wkr = self.workers.get(wkr_id)
+            if wkr is None:
+                others = [w.slots for w in self.ready]
+                slots = sum(others) / len(others) if others else FIRST_SLOTS
+                wkr = self.workers[wkr_id] = Worker(wkr_id, slots)
+                wkr.born = born
+            elif born > wkr.born:
+                wkr.fresh(born)
+            wkr.zone, wkr.kind, wkr.cell, wkr.units, wkr.state = zone, cls, cell, units, state
+        if kind != "changes":
+            for wkr in self.workers.values():
+                if wkr.id not in named:
+                    wkr.state = "gone"
+        self.ready = [wkr for wkr in self.workers.values() if wkr.state == "ready"]
+        self.recall()
+
+    def arrived(self, now, job_id, qtype, hint, key, width, memory, tenant, patience):
+        job, qt = Job(), self.queue_types[qtype]
+        job.id, job.qt, job.key, job.hint = job_id, qt, key, hint
+        job.tenant, job.arrived = tenant, now
+        job.load = max(width, memory)
+        job.launches, job.out, job.closed, job.streaming = [], 0, False, False
+        job.held, job.again = False, False
+        # Two steps early: a timer is rung at a step's end, and the answer takes effect there.
+        job.last = now + max(0, patience - 2 * self.settings["step"])
+        qt["most_patience"] = max(qt["most_patience"], patience)
+        self.expect(job)
+        aim = min(qt["target"] + int(qt["stretch"] * (hint or job.mean)), qt["walltime"])
+        # A later try's time is counted from the client's first one.
+        job.target_at = now + aim - max(0, qt["most_patience"] - patience)
+        if tenant < len(self.rates):
+            self.rates[tenant] += 1.0
+        self.spare = min(10.0, self.spare + 0.1)
+        self.jobs[job_id] = job
+        self.todo.append(job)
+        self.remind(job.last, job)
+
+    def find(self, job_id, n):
+        job = self.jobs.get(job_id)
+        return job.launches[n] if job is not None and n < len(job.launches) else None
+
+    def started(self, now, job_id, n):
+        launch = self.find(job_id, n)
+        if launch is None or launch.began or launch.ended:
+            return
+        launch.began, wkr = now, launch.wkr
+        wkr.heard = now
+        if launch.entry is None:
+            return
+        lag = now - launch.sent
+        wkr.running += launch.load
+        quick = wkr.quick = lag if wkr.quick is None else min(lag, wkr.quick + (wkr.quick >> 6))
+        wait = lag - 3 * quick - 4 * self.settings["step"]
+        self.lag.learn(lag)
+        if wkr.running > wkr.peak:
+            wkr.peak = wkr.running
+            wkr.slots = max(wkr.slots, wkr.peak)
+        if wait > 0:
+            # What made it wait is load that this dispatcher cannot see.
+            wkr.slots += GAIN * (max(wkr.peak, wkr.running) - wkr.slots)
+            wkr.extra = max(0.0, wkr.slots - wkr.running) + wait * wkr.slots / self.run.mean / 2
+        else:
+            wkr.extra = min(self.extra(wkr, now), max(0.0, wkr.slots - wkr.running))
+        wkr.extra_at = now
+        self.move(launch, now + int((launch.mean + launch.job.var) * self.slowness(wkr, now)))
+
+    def progress(self, now, job_id, n, share):
+        launch = self.find(job_id, n)
+        if launch is None or launch.ended or not launch.began:
+            return
+        launch.wkr.heard = now
+        if share > 0.02 and launch.entry is not None:
+            total = (now - launch.began) / min(share, 1.0)
+            self.move(launch, launch.began + int(total))
+            launch.told = True
+            self.learn_slow(launch.wkr, total / launch.mean, now)
+
+    def ended(self, now, job_id, n, how, lag, final, report):
+        job, launch = self.jobs.get(job_id), self.find(job_id, n)
+        if launch is None or launch.ended:
+            return
+        launch.ended = True
+        job.out -= 1
+        launch.may_have_run = how not in NEVER_RAN
+        if launch.entry is not None:
+            self.off(launch)
+        if how not in ("timeout", "revoked", "unsent"):
+            self.judge(now, launch, how)
+        if final and not job.closed:
+            self.close(job)
+        elif not job.closed:
+            self.todo.append(job)
+        if job.closed and not job.out:
+            self.jobs.pop(job_id, None)
+        self.recall()
+
+    def streaming(self, now, job_id, n):
+        launch = self.find(job_id, n)
+        if launch is not None:
+            launch.job.streaming = True
+            launch.began = launch.began or now
+
+    def abandoned(self, now, job_id):
+        job = self.jobs.get(job_id)
+        if job is not None and not job.closed:
+            self.close(job)
+
+    def probed(self, now, wkr_id, how, lag, report):
+        wkr = self.workers.get(wkr_id)
+        if wkr is not None and how == "completed":
+            wkr.heard = now
+
+    # What is known
+
+    def off(self, launch):
+        wkr = launch.wkr
+        curve = wkr.curve
+        del curve[bisect_left(curve, launch.entry)]
+        launch.entry = None
+        wkr.out.pop((launch.job.id, launch.n), None)
+        wkr.load = sum(entry[2] for entry in curve)
+        if launch.began:
+            wkr.running = max(0.0, wkr.running - launch.load)
+
+    def move(self, launch, end):
+        curve = launch.wkr.curve
+        del curve[bisect_left(curve, launch.entry)]
+        launch.entry = (end, *launch.entry[1:])
+        insort(curve, launch.entry)
+
+    def expect(self, job):
+        """Running time on the mean worker: the key's, else seeded by the hint, else the queue type's."""
+        qt = job.qt
+        if job.key:
+            known = self.keys.get(job.key)
+            if known is None:
+                if len(self.keys) >= KEYS_KEPT:
+                    del self.keys[next(iter(self.keys))]
+                if job.hint:
+                    known = Estimate(job.hint * qt["ratio"].mean, job.hint * qt["ratio"].var)
+                elif self.keys:
+                    n = len(self.keys)
+                    known = Estimate(sum(k.mean for k in self.keys.values()) / n,
+                                     sum(k.var for k in self.keys.values()) / n)
+                else:
+                    known = Estimate(qt["run"].mean, qt["run"].var)
+                self.keys[job.key] = known
+            job.mean, job.var = known.mean, SPREAD * known.var
+        elif job.hint:
+            # Without keys each job is a new key of its own.
+            job.mean, job.var = job.hint * qt["ratio"].mean, SPREAD * job.hint * qt["ratio"].var
+        else:
+            job.mean, job.var = qt["run"].mean, SPREAD * qt["run"].var
+        job.mean = max(job.mean, 1.0)
+
+    def judge(self, now, launch, how):
+        job, wkr = launch.job, launch.wkr
+        if how == "completed":
+            wkr.heard = now
+            run = max(1, now - (launch.began or launch.sent))
+            slow = self.slowness(wkr, now)
+            self.learn_slow(wkr, run / launch.mean, now)
+            qt = job.qt
+            self.run.learn(run)
+            qt["run"].learn(run)
+            if job.hint:
+                qt["ratio"].learn(min(run / slow, 8 * launch.mean) / job.hint)
+            if job.key in self.keys:
+                self.keys[job.key].learn(run)
+            wkr.errors *= 1 - GAIN
+            if wkr.aside and wkr.errors < 0.25:
+                wkr.trickle *= 2
+                wkr.pause = 0
+                if wkr.trickle > wkr.slots:
+                    wkr.aside = ""
+        elif how == "error":
+            wkr.heard = now
+            wkr.errors += (1 - wkr.errors) / 2
+            self.set_aside(wkr, "errors", now)
+        elif how == "full":
+            wkr.heard = wkr.extra_at = now
+            wkr.extra = 2 * wkr.slots
+        elif how in ("unreachable", "lost"):
+            self.set_aside(wkr, how, now)
+
+    def set_aside(self, wkr, why, now):
+        wkr.aside, wkr.trickle = why, 1
+        wkr.pause = min(2 * wkr.pause or 250_000, 2_000_000)
+        wkr.back_at = now + wkr.pause
+
+    def learn_slow(self, wkr, ratio, now):
+        wkr.slow = self.memory(wkr, now)
+        wkr.slow += GAIN * (min(ratio, 8.0 * wkr.slow) - wkr.slow)
+        wkr.slow_at = now
+
+    def memory(self, wkr, now):
+        """Learned slowness fades: a worker avoided for it is never measured again otherwise."""
+        age = (now - wkr.slow_at) / (16 * self.run.mean + 1)
+        return 1 + (wkr.slow - 1) / (1 + age * age) if wkr.slow > 1 else wkr.slow
+
+    def warmth(self, wkr, now):
+        """The least share of its capacity that a worker can have by now."""
+        age, cold_for = now - wkr.born, self.settings["cold_for"]
+        if not wkr.born or age >= cold_for:
+            return 1.0
+        low = self.settings["cold_from"]
+        return low + (1 - low) * max(0, age) / cold_for
+
+    def slowness(self, wkr, now):
+        return self.memory(wkr, now) / (self.warmth(wkr, now) if wkr.born else 1.0)
+
+    def extra(self, wkr, now):
+        """Load of others, as last seen, fading; never less than what keeps own jobs waiting."""
+        extra = wkr.extra / (1 + (now - wkr.extra_at) / self.run.mean) if wkr.extra else 0.0
+        if wkr.running < wkr.load:
+            for launch in wkr.out.values():
+                if not launch.began:
+                    if now - launch.sent > 3 * (wkr.quick or 0) + 4 * self.settings["step"]:
+                        extra = max(extra, wkr.slots - wkr.running)
+                    break
+        return extra
+
+    def recall(self):
+        if self.held:
+            job = self.held.popleft()
+            job.held = False
+            self.todo.append(job)
+
+    def close(self, job):
+        job.closed = True
+        if job.out:
+            if self.settings["may_revoke"]:
+                self.stops.extend(launch for launch in job.launches if not launch.ended)
+        else:
+            self.jobs.pop(job.id, None)
+
+    # Decisions
+
+    def wake_at(self):
+        due = self.due
+        while due and self.stale(due[0][2]):
+            heappop(due)
+        when = due[0][0] if due else None
+        if self.ask_at is not None and (when is None or self.ask_at < when):
+            when = self.ask_at
+        return when
+
+    @staticmethod
+    def stale(what):
+        return what.closed if what.__class__ is Job else what.ended
+
+    def decide(self, now):
+        if self.tidy_at <= now:
+            self.tidy(now)
+        if self.ask_at is not None and self.ask_at <= now:
+            # Asking counts even when the answer is lost: ask again well before being taken as told.
+            self.ask_at = now + (self.settings["ask_within"] // 2 or 5_000_000)
+            return ("follow", True)
+        while self.due and self.due[0][0] <= now:
+            what = heappop(self.due)[2]
+            if not self.stale(what):
+                if what.__class__ is Launch:
+                    self.check(what, now)
+                else:
+                    self.todo.append(what)
+        while self.stops:
+            launch = self.stops.popleft()
+            if not launch.ended and not launch.revoked:
+                launch.revoked = True
+                return ("revoke", launch.job.id, launch.n)
+        while self.todo:
+            job = self.todo.popleft()
+            if not job.closed:
+                decision = self.settle(job, now)
+                if decision is not None:
+                    return decision
+        return None
+
+    def settle(self, job, now):
+        """The next step of one job, or None while it has to wait."""
+        if job.streaming:
+            return None
+        if now >= job.last:
+            return self.give_up(job, 0)
+        again, job.again = job.again, False
+        if job.out and not again:
+            return None
+        group, until = None, None
+        for launch in job.launches:
+            if launch.may_have_run or not launch.ended:
+                if job.qt["effect"] == "run-once":
+                    return self.give_up(job, 0) if not job.out else None
+                if job.qt["effect"] == "deduplicated" and group is None:
+                    group, until = launch.wkr, launch.sent + job.qt["window"]
+        if len(job.launches) >= self.settings["launches"] or (until is not None and now >= until):
+            return self.give_up(job, 0) if not job.out else None
+        best, wait = self.pick(job, now, group)
+        if best is None:
+            if job.out:
+                return None
+            if now >= max(job.target_at, job.arrived + self.settings["connect_timeout"]):
+                return self.give_up(job, self.settings["connect_timeout"])
+            self.hold(job, now)
+            return None
+        if not job.launches and self.turned_away(job, wait, best, now):
+            return self.give_up(job, wait)
+        if job.out:
+            self.spare -= 1
+        return self.launch(job, best, now)
+
+    def hold(self, job, now):
+        if not job.held:
+            job.held = True
+            self.held.append(job)
+        self.remind(now + 5 * self.settings["step"], job)
+
+    def give_up(self, job, hold_off):
+        """A rejection says that trying again is harmless; where that is not known the job is killed."""
+        effect, maybe = job.qt["effect"], any(ln.may_have_run or not ln.ended for ln in job.launches)
+        harmless = not maybe or effect == "restartable" or effect == "deduplicated" and job.qt["group"] == "all"
+        self.close(job)
+        if not harmless:
+            return ("kill", job.id)
+        if not self.settings["may_hold_off"]:
+            hold_off = 0
+        return ("reject", job.id, min(int(hold_off), self.settings["most_hold_off"]))
+
+    def eligible(self, wkr, job, now, group, crowd):
+        kind = job.qt["kind"]
+        if kind >= 0 and wkr.kind != kind:
+            return False
+        if group is not None:
+            scope = job.qt["group"]
+            if (scope == "zone" and wkr.zone != group.zone) or (scope == "cell" and wkr.cell != group.cell):
+                return False
+        if wkr.aside and not crowd:
+            if now < wkr.back_at or len(wkr.out) >= wkr.trickle or job.qt["effect"] == "run-once":
+                return False
+        for launch in job.launches:
+            if launch.wkr is wkr and (not launch.ended or len(job.launches) < len(self.ready)):
+                return False
+        return not wkr.born or now - wkr.born >= self.settings["cold_for"] or self.cold_room(wkr, job, now)
+
+    def cold_room(self, wkr, job, now):
+        """Cold workers fall over under the sum of all dispatchers: each keeps to its own part."""
+        settings = self.settings
+        spent, window = wkr.spent, settings["fall_for"]
+        while spent and spent[0][0] <= now - window:
+            spent.popleft()
+        slots = sum(w.peak for w in self.ready) / len(self.ready)
+        ratio = max(qt["ratio"].mean for qt in self.queue_types)
+        capacity = self.warmth(wkr, now) * slots / ratio
+        budget = 0.7 * settings["fall_multiple"] * capacity * window / settings["dispatchers"]
+        return sum(work for _, work in spent) + (job.hint or job.mean) * job.load <= budget
+
+    def pick(self, job, now, group):
+        """Least contention, then least integrated load (Worst-Fit), then chance (paper, section 4.4)."""
+        # A trouble that most of the fleet shares is no reason to set workers aside.
+        crowd = 2 * sum(1 for wkr in self.ready if wkr.aside) > len(self.ready)
+        best, best_over, best_area, best_wait, ties = None, 0.0, 0.0, 0.0, 1
+        mean, var, load = job.mean, job.var, job.load
+        special = job.launches or job.qt["kind"] >= 0
+        for wkr in self.ready:
+            if wkr.aside or wkr.born or special:
+                if not self.eligible(wkr, job, now, group, crowd):
+                    continue
+            slow = self.slowness(wkr, now)
+            span = int((mean + var) * slow)
+            extra = self.extra(wkr, now)
+            over, area = self.contention(wkr, now, span, load, var, extra)
+            if best is None or over < best_over or (over == best_over and area < best_area):
+                best, best_over, best_area, ties = wkr, over, area, 1
+                above = wkr.load + load + extra - max(wkr.slots, load)
+                best_wait = above * self.run.mean * slow / wkr.slots if above > 0 else 0.0
+            elif over == best_over and area == best_area:
+                ties += 1
+                if self.chance() * ties < 1:
+                    best = wkr
+        return best, best_wait
+
+    @staticmethod
+    def contention(wkr, now, span, load, var, extra):
+        curve, level = wkr.curve, wkr.load + load + extra
+        area = (load + extra) * span
+        above = level - max(wkr.slots, load)
+        if above <= 0:
+            for end, _, width in curve:
+                left = end - now
+                if left <= 0:
+                    left = var  # overdue: it counts until now plus the variation
+                area += width * (left if left < span else span)
+            return 0.0, area
+        over, at = 0.0, 0
+        ends = [(end - now if end > now else int(var), width) for end, _, width in curve]
+        ends.sort()
+        for left, width in ends:
+            left = min(left, span)
+            area += width * left
+            if above > 0:
+                over += above * (left - at)
+                at = left
+                above -= width
+        if above > 0:
+            over += above * (span - at)
+        return over, area
+
+    def turned_away(self, job, wait, wkr, now):
+        """Under overload a queue only makes all answers late: by chance, the cheaper more often."""
+        if wait <= 0:
+            return False
+        slack = job.target_at - now - job.mean * self.slowness(wkr, now)
+        value = job.qt["utility"] / self.best_utility
+        if self.chance() < self.excess(job.tenant):
+            value *= self.settings["excess_utility"]
+        limit = max(slack, self.settings["step"]) * value ** 0.5
+        return wait > limit * (0.5 + 0.5 * self.chance())
+
+    def excess(self, tenant):
+        """The share of a tenant's traffic that is over its quota, as far as this dispatcher can tell."""
+        tenants = self.settings["tenants"]
+        if tenant >= len(tenants) or not tenants[tenant]["quota"]:
+            return 0.0
+        rate = self.rates[tenant] / 3.0
+        mine = tenants[tenant]["quota"] / self.settings["dispatchers"]
+        return max(0.0, 1 - mine / rate) if rate else 0.0
+
+    def tidy(self, now):
+        """Once a second: traffic fades; speeds are kept relative, so what all share moves the estimates."""
+        self.tidy_at = now + 1_000_000
+        self.rates = [rate * 2 / 3 for rate in self.rates]
+        known = [wkr.slow for wkr in self.ready if wkr.slow_at]
+        if known:
+            mean = sum(known) / len(known)
+            for wkr in self.ready:
+                if wkr.slow_at:
+                    wkr.slow /= mean
+
+    def launch(self, job, wkr, now):
+        launch = Launch()
+        launch.job, launch.wkr, launch.n, launch.sent = job, wkr, len(job.launches), now
+        launch.load, launch.mean, launch.began, launch.told = job.load, job.mean, 0, False
+        launch.ended, launch.may_have_run, launch.revoked = False, False, False
+        end = now + int((job.mean + job.var) * self.slowness(wkr, now))
+        self.dues += 1
+        launch.entry = (end, self.dues, job.load)
+        insort(wkr.curve, launch.entry)
+        wkr.load += job.load
+        wkr.out[(job.id, launch.n)] = launch
+        job.launches.append(launch)
+        job.out += 1
+        if wkr.born and now - wkr.born < self.settings["cold_for"]:
+            wkr.spent.append((now, (job.hint or job.mean) * job.load))
+        self.remind(end, launch)
+        return ("launch", job.id, wkr.id, 0)
+
+    def check(self, launch, now):
+        """A launch past its estimated end: is its worker silent or slow, and may the job go elsewhere?"""
+        wkr, job = launch.wkr, launch.job
+        if launch.began:
+            if not launch.told:
+                ratio = (now - launch.began) / launch.mean
+                if ratio > self.slowness(wkr, now):
+                    self.learn_slow(wkr, ratio, now)
+        elif wkr.heard < launch.sent and now - launch.sent > self.lag.mean + 4 * self.lag.var + self.run.mean:
+            if not wkr.aside:
+                self.set_aside(wkr, "silent", now)
+        self.remind(now + int(max(job.var, launch.mean / 2, self.settings["step"])), launch)
+        if job.closed or launch.revoked or job.qt["effect"] != "restartable" or self.spare < 1 or job.out > 1:
+            return
+        if self.settings["parallel"]:
+            job.again = True
+            self.todo.append(job)
+        elif not launch.began and self.settings["may_revoke"]:
+            self.spare -= 1
+            self.stops.append(launch)
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,68 @@
+"""The four rules: each test builds a state and makes one call."""
+
+import pytest
+from helpers import arrive, balancer, entry, pull, queue_type
+
+MAY_HAVE_RUN = ["error", "timeout", "lost", "revoked"]
+NEVER_RAN = ["full", "unreachable", "unsent"]
+
+
+@pytest.mark.parametrize("workers", [0, 4])
+@pytest.mark.parametrize("effect", ["restartable", "deduplicated", "run-once"])
+@pytest.mark.parametrize("patience", [40_000, 5_000_000])
+def test_final_answer_comes_before_the_try_ends(workers, effect, patience):
+    made = balancer([queue_type(effect)], workers)
+    arrive(made, patience=patience)
+    pull(made, 0)
+    answers = [d[0] for d in pull(made, patience - 4_000) if d[0] in ("reject", "kill")]
+    assert answers == (["kill"] if workers and effect != "restartable" else ["reject"])
+
+
+@pytest.mark.parametrize("how", MAY_HAVE_RUN + NEVER_RAN)
+def test_run_once_goes_again_only_when_it_never_ran(how):
+    made = balancer([queue_type("run-once")])
+    arrive(made)
+    pull(made, 0)
+    made.ended(50_000, 1, 0, how, 50_000, False, [])
+    assert [d[0] for d in pull(made, 50_000)] == (["kill"] if how in MAY_HAVE_RUN else ["launch"])
+
+
+@pytest.mark.parametrize("how", MAY_HAVE_RUN)
+@pytest.mark.parametrize("now", [100_000, 7_600_000])
+def test_deduplicated_repeat_stays_in_its_group_and_window(how, now):
+    made = balancer([queue_type("deduplicated", walltime=20_000_000)])
+    arrive(made, patience=20_000_000)
+    (first,) = pull(made, 0)
+    made.ended(now, 1, 0, how, now, False, [])
+    (again,) = (d for d in pull(made, now) if d[0] in ("launch", "kill", "reject"))
+    assert again[0] == ("launch" if now < 7_500_000 else "kill")
+    if again[0] == "launch":
+        assert made.workers[again[2]].zone == made.workers[first[2]].zone
+
+
+@pytest.mark.parametrize("state", ["draining", "gone"])
+def test_nothing_new_goes_to_a_leaving_worker(state):
+    made = balancer(workers=1)
+    made.members(0, "changes", [entry(0, state)])
+    arrive(made)
+    assert pull(made, 0) == []
+
+
+@pytest.mark.parametrize("dispatchers", [2, 8])
+def test_cold_worker_gets_only_this_dispatchers_part(dispatchers):
+    made = balancer(workers=0, dispatchers=dispatchers)
+    made.members(0, "whole", [entry(0, born=1)])
+    sent = 0
+    for job in range(40):
+        arrive(made, 1, job, hint=20_000)
+        sent += sum(20_000 for d in pull(made, 1) if d[0] == "launch")
+    assert 0 < sent <= 2.5 * 0.2 * 2_000_000 / dispatchers
+
+
+def test_late_news_is_passed_over():
+    made = balancer()
+    made.ended(0, 9, 0, "completed", 0, True, [])
+    made.started(0, 9, 0)
+    made.progress(0, 9, 0, 0.5)
+    made.abandoned(0, 9)
+    assert pull(made, 0) == []
