--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -426,7 +426,7 @@
     def give_up(self, job, hold_off):
         """A rejection says that trying again is harmless; where that is not known the job is killed."""
         effect, maybe = job.qt["effect"], any(ln.may_have_run or not ln.ended for ln in job.launches)
-        harmless = not maybe or effect == "restartable" or effect == "deduplicated" and job.qt["group"] == "all"
+        harmless = not maybe or effect == "restartable" or effect != "run-once" and job.qt["group"] == "all"
         self.close(job)
         if not harmless:
             return ("kill", job.id)
