--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -9,6 +9,7 @@
 from bisect import bisect_left, insort
 from collections import deque
 from heapq import heappop, heappush
+from itertools import chain, islice
 from zlib import crc32
 
 GAIN = 0.125  # the paper's alpha and beta
@@ -16,6 +17,7 @@
 FIRST_SLOTS = 8.0  # the design's start where no worker has shown its slots
 NEVER_RAN = ("full", "unreachable", "unsent")
 KEYS_KEPT = 4096
+SWEEP = 0.2  # microseconds, in the settings' measure, that looking at one worker takes
 
 
 class Estimate:
@@ -41,12 +43,14 @@
                  "back_at", "pause", "trickle", "spent")
 
     def __init__(self, wkr_id, slots):
-        self.id, self.slots = wkr_id, slots
+        self.id, self.slots, self.out = wkr_id, slots, {}
         self.state = "ready"
         self.fresh(0)
 
     def fresh(self, born):
         """A new life: what was out on the former one must not weigh on it, and it is cold again."""
+        for launch in self.out.values():
+            launch.entry = None
         self.born, self.out, self.curve, self.load, self.running, self.peak = born, {}, [], 0.0, 0.0, 1.0
         self.slow, self.slow_at, self.extra, self.extra_at, self.heard, self.quick = 1.0, 0, 0.0, 0, 0, None
         self.errors, self.aside, self.back_at, self.pause, self.trickle = 0.0, "", 0, 0, 1
@@ -82,7 +86,7 @@
             # Dispatchers restarted together must not ask in step.
             self.ask_at = now + int(self.chance() * 100 * settings["step"])
         self.rates = [0.0] * max(1, len(settings["tenants"]))
-        self.rates_at = now
+        self.survey()
 
     def chance(self):
         self.draws += 1
@@ -121,6 +125,7 @@
                 if wkr.id not in named:
                     wkr.state = "gone"
         self.ready = [wkr for wkr in self.workers.values() if wkr.state == "ready"]
+        self.survey()
         self.recall()
 
     def arrived(self, now, job_id, qtype, hint, key, width, memory, tenant, patience):
@@ -137,8 +142,7 @@
         aim = min(qt["target"] + int(qt["stretch"] * (hint or job.mean)), qt["walltime"])
         # A later try's time is counted from the client's first one.
         job.target_at = now + aim - max(0, qt["most_patience"] - patience)
-        if tenant < len(self.rates):
-            self.rates[tenant] += 1.0
+        self.rates[tenant if tenant < len(self.rates) else 0] += 1.0
         self.spare = min(10.0, self.spare + 0.1)
         self.jobs[job_id] = job
         self.todo.append(job)
@@ -296,6 +300,7 @@
         wkr.aside, wkr.trickle = why, 1
         wkr.pause = min(2 * wkr.pause or 250_000, 2_000_000)
         wkr.back_at = now + wkr.pause
+        self.asides = sum(1 for other in self.ready if other.aside)
 
     def learn_slow(self, wkr, ratio, now):
         wkr.slow = self.memory(wkr, now)
@@ -456,23 +461,26 @@
         spent, window = wkr.spent, settings["fall_for"]
         while spent and spent[0][0] <= now - window:
             spent.popleft()
-        slots = sum(w.peak for w in self.ready) / len(self.ready)
-        ratio = max(qt["ratio"].mean for qt in self.queue_types)
-        capacity = self.warmth(wkr, now) * slots / ratio
+        capacity = self.warmth(wkr, now) * self.capacity
         budget = 0.7 * settings["fall_multiple"] * capacity * window / settings["dispatchers"]
         return sum(work for _, work in spent) + (job.hint or job.mean) * job.load <= budget
 
     def pick(self, job, now, group):
         """Least contention, then least integrated load (Worst-Fit), then chance (paper, section 4.4)."""
         # A trouble that most of the fleet shares is no reason to set workers aside.
-        crowd = 2 * sum(1 for wkr in self.ready if wkr.aside) > len(self.ready)
+        crowd = 2 * self.asides > len(self.ready)
         best, best_over, best_area, best_wait, ties = None, 0.0, 0.0, 0.0, 1
         mean, var, load = job.mean, job.var, job.load
         special = job.launches or job.qt["kind"] >= 0
-        for wkr in self.ready:
+        ready, look = self.ready, self.look
+        first = int(self.chance() * len(ready)) if look < len(ready) else 0
+        for wkr in islice(chain(islice(ready, first, None), islice(ready, first)), len(ready)):
             if wkr.aside or wkr.born or special:
                 if not self.eligible(wkr, job, now, group, crowd):
                     continue
+            if look <= 0:
+                break
+            look -= 1
             slow = self.slowness(wkr, now)
             span = int((mean + var) * slow)
             extra = self.extra(wkr, now)
@@ -534,9 +542,10 @@
         return max(0.0, 1 - mine / rate) if rate else 0.0
 
     def tidy(self, now):
-        """Once a second: traffic fades; speeds are kept relative, so what all share moves the estimates."""
+        """Once a second: traffic fades; speeds stay relative, so what all share moves the estimates."""
         self.tidy_at = now + 1_000_000
         self.rates = [rate * 2 / 3 for rate in self.rates]
+        self.survey()
         known = [wkr.slow for wkr in self.ready if wkr.slow_at]
         if known:
             mean = sum(known) / len(known)
@@ -544,6 +553,17 @@
                 if wkr.slow_at:
                     wkr.slow /= mean
 
+    def survey(self):
+        """Figures over the whole fleet, once a second: taken for each job they cost more than deciding."""
+        ready = self.ready
+        self.asides = sum(1 for wkr in ready if wkr.aside)
+        slots = sum(wkr.peak for wkr in ready) / len(ready) if ready else 1.0
+        self.capacity = slots / max(qt["ratio"].mean for qt in self.queue_types)
+        settings, rate = self.settings, max(1.0, sum(self.rates) / 3)
+        budgets = [limit for limit in (settings["cpu_a_job"], settings["cpu_a_second"] / rate) if limit]
+        # A large fleet looked at whole for each job would make all jobs late: then a part of it, by chance.
+        self.look = max(4, int(min(budgets) / 2 / SWEEP)) if budgets else len(ready)
+
     def launch(self, job, wkr, now):
         launch = Launch()
         launch.job, launch.wkr, launch.n, launch.sent = job, wkr, len(job.launches), now
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -66,3 +66,13 @@
     made.progress(0, 9, 0, 0.5)
     made.abandoned(0, 9)
     assert pull(made, 0) == []
+
+
+def test_what_was_out_on_a_former_life_ends_quietly():
+    made = balancer(workers=1)
+    arrive(made)
+    pull(made, 0)
+    made.members(1_000, "changes", [entry(0, born=900)])
+    made.started(2_000, 1, 0)
+    made.ended(3_000, 1, 0, "lost", 3_000, False, [])
+    assert made.workers[0].curve == [] and made.workers[0].load == 0
