--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -14,9 +14,13 @@
 
 GAIN = 0.125  # the paper's alpha and beta
 SPREAD = 1.0  # the paper's kappa
+MOVES = 0.2  # share of jobs that may be moved or copied, lest a shared trouble doubles the work
+WAITS = 9  # last starts whose median wait tells overload
+PRESSING = 2_000_000  # over this time a full queue becomes rejections
 FIRST_SLOTS = 8.0  # the design's start where no worker has shown its slots
 NEVER_RAN = ("full", "unreachable", "unsent")
 KEYS_KEPT = 4096
+LONGEST_PAUSE = 4_000_000  # between two trials of a worker that was set aside
 SWEEP = 0.2  # microseconds, in the settings' measure, that looking at one worker takes
 
 
@@ -39,8 +43,8 @@
 
 class Worker:
     __slots__ = ("id", "zone", "kind", "cell", "units", "state", "born", "out", "curve", "load", "running",
-                 "slots", "peak", "slow", "slow_at", "extra", "extra_at", "heard", "quick", "errors", "aside",
-                 "back_at", "pause", "trickle", "spent")
+                 "slots", "peak", "slow", "slow_at", "extra", "extra_at", "heard", "quick", "aside",
+                 "spent")
 
     def __init__(self, wkr_id, slots):
         self.id, self.slots, self.out = wkr_id, slots, {}
@@ -53,10 +57,19 @@
             launch.entry = None
         self.born, self.out, self.curve, self.load, self.running, self.peak = born, {}, [], 0.0, 0.0, 1.0
         self.slow, self.slow_at, self.extra, self.extra_at, self.heard, self.quick = 1.0, 0, 0.0, 0, 0, None
-        self.errors, self.aside, self.back_at, self.pause, self.trickle = 0.0, "", 0, 0, 1
+        self.aside = {}
         self.spent = deque()
 
 
+class Aside:
+    """Why a worker gets a trickle only, and how far it has come back."""
+
+    __slots__ = ("back_at", "pause", "trickle", "good")
+
+    def __init__(self):
+        self.pause = 125_000
+
+
 class Job:
     __slots__ = ("id", "qt", "key", "hint", "load", "tenant", "arrived", "target_at", "last", "launches",
                  "out", "closed", "streaming", "mean", "var", "held", "again")
@@ -71,11 +84,14 @@
     def __init__(self, settings, seed, now):
         self.settings, self.seed, self.draws = settings, seed, 0
         self.queue_types = settings["queue_types"]
-        for qt in self.queue_types:
+        for n, qt in enumerate(self.queue_types):
+            qt["n"] = n
             qt["ratio"], qt["run"] = Estimate(1.0, 0.5), Estimate(float(qt["target"]), qt["target"] / 2)
             qt["most_patience"] = 0
         self.best_utility = max(qt["utility"] for qt in self.queue_types) or 1.0
         self.run = Estimate(float(min(qt["target"] for qt in self.queue_types)), 0.0)
+        self.waits, self.queue_at, self.pressed_at, self.pressure = deque([0], WAITS), now, now, 0.0
+        self.slack, self.value = self.run.mean, 0.5
         self.lag = Estimate(4.0 * settings["step"], 4.0 * settings["step"])
         self.keys, self.workers, self.ready, self.jobs = {}, {}, [], {}
         self.todo, self.stops, self.held, self.due, self.dues = deque(), deque(), deque(), [], 0
@@ -143,7 +159,7 @@
         # A later try's time is counted from the client's first one.
         job.target_at = now + aim - max(0, qt["most_patience"] - patience)
         self.rates[tenant if tenant < len(self.rates) else 0] += 1.0
-        self.spare = min(10.0, self.spare + 0.1)
+        self.spare = min(10.0, self.spare + MOVES)
         self.jobs[job_id] = job
         self.todo.append(job)
         self.remind(job.last, job)
@@ -168,6 +184,11 @@
         if wkr.running > wkr.peak:
             wkr.peak = wkr.running
             wkr.slots = max(wkr.slots, wkr.peak)
+        job = launch.job
+        if job.out > 1 and self.settings["may_revoke"]:
+            self.stops.extend(other for other in job.launches if not other.began and not other.ended)
+        self.waits.append(max(0, wait))
+        self.queue_at = now
         if wait > 0:
             # What made it wait is load that this dispatcher cannot see.
             wkr.slots += GAIN * (max(wkr.peak, wkr.running) - wkr.slots)
@@ -175,7 +196,9 @@
         else:
             wkr.extra = min(self.extra(wkr, now), max(0.0, wkr.slots - wkr.running))
         wkr.extra_at = now
-        self.move(launch, now + int((launch.mean + launch.job.var) * self.slowness(wkr, now)))
+        end = now + int((launch.mean + job.var) * self.slowness(wkr, now))
+        self.move(launch, end)
+        self.remind(end, launch)
 
     def progress(self, now, job_id, n, share):
         launch = self.find(job_id, n)
@@ -267,40 +290,57 @@
         job.mean = max(job.mean, 1.0)
 
     def judge(self, now, launch, how):
-        job, wkr = launch.job, launch.wkr
+        job, wkr, qt = launch.job, launch.wkr, launch.job.qt
         if how == "completed":
             wkr.heard = now
             run = max(1, now - (launch.began or launch.sent))
             slow = self.slowness(wkr, now)
             self.learn_slow(wkr, run / launch.mean, now)
-            qt = job.qt
             self.run.learn(run)
             qt["run"].learn(run)
             if job.hint:
                 qt["ratio"].learn(min(run / slow, 8 * launch.mean) / job.hint)
             if job.key in self.keys:
                 self.keys[job.key].learn(run)
-            wkr.errors *= 1 - GAIN
-            if wkr.aside and wkr.errors < 0.25:
-                wkr.trickle *= 2
-                wkr.pause = 0
-                if wkr.trickle > wkr.slots:
-                    wkr.aside = ""
+            if wkr.aside:
+                self.goes_well(wkr, launch)
         elif how == "error":
+            # A release may fail one queue type alone, and quickly, which makes its curve look empty.
             wkr.heard = now
-            wkr.errors += (1 - wkr.errors) / 2
-            self.set_aside(wkr, "errors", now)
+            self.set_aside(wkr, qt["n"], launch, now)
         elif how == "full":
             wkr.heard = wkr.extra_at = now
             wkr.extra = 2 * wkr.slots
         elif how in ("unreachable", "lost"):
-            self.set_aside(wkr, how, now)
+            self.set_aside(wkr, None, launch, now)
 
-    def set_aside(self, wkr, why, now):
-        wkr.aside, wkr.trickle = why, 1
-        wkr.pause = min(2 * wkr.pause or 250_000, 2_000_000)
-        wkr.back_at = now + wkr.pause
-        self.asides = sum(1 for other in self.ready if other.aside)
+    def set_aside(self, wkr, why, launch, now):
+        aside = wkr.aside.get(why)
+        if aside is None:
+            aside = wkr.aside[why] = Aside()
+        elif launch.sent < aside.back_at - aside.pause:
+            return
+        aside.trickle, aside.good, aside.pause = 1, 0, min(2 * aside.pause, LONGEST_PAUSE)
+        aside.back_at = now + aside.pause
+        self.count_asides()
+
+    def goes_well(self, wkr, launch):
+        """What was sent before it was set aside proves nothing of how it does now."""
+        for why in (None, launch.job.qt["n"]):
+            aside = wkr.aside.get(why)
+            if aside is not None and launch.sent >= aside.back_at:
+                aside.good += 1
+                if aside.good >= aside.trickle:
+                    aside.trickle, aside.good = 2 * aside.trickle, 0
+                if aside.trickle > wkr.slots:
+                    del wkr.aside[why]
+                    self.count_asides()
+
+    def count_asides(self):
+        self.asides = {}
+        for wkr in self.ready:
+            for why in wkr.aside:
+                self.asides[why] = self.asides.get(why, 0) + 1
 
     def learn_slow(self, wkr, ratio, now):
         wkr.slow = self.memory(wkr, now)
@@ -416,6 +456,7 @@
                 return self.give_up(job, self.settings["connect_timeout"])
             self.hold(job, now)
             return None
+        self.press(now)
         if not job.launches and self.turned_away(job, wait, best, now):
             return self.give_up(job, wait)
         if job.out:
@@ -439,7 +480,7 @@
             hold_off = 0
         return ("reject", job.id, min(int(hold_off), self.settings["most_hold_off"]))
 
-    def eligible(self, wkr, job, now, group, crowd):
+    def eligible(self, wkr, job, now, group):
         kind = job.qt["kind"]
         if kind >= 0 and wkr.kind != kind:
             return False
@@ -447,9 +488,14 @@
             scope = job.qt["group"]
             if (scope == "zone" and wkr.zone != group.zone) or (scope == "cell" and wkr.cell != group.cell):
                 return False
-        if wkr.aside and not crowd:
-            if now < wkr.back_at or len(wkr.out) >= wkr.trickle or job.qt["effect"] == "run-once":
-                return False
+        for why in (None, job.qt["n"]) if wkr.aside else ():
+            aside = wkr.aside.get(why)
+            # A trouble that most of the fleet shares is no reason to set workers aside.
+            if aside is not None and 2 * self.asides.get(why, 0) <= len(self.ready):
+                if now < aside.back_at or len(wkr.out) >= aside.trickle:
+                    return False
+                if why is None and job.qt["effect"] == "run-once":
+                    return False
         for launch in job.launches:
             if launch.wkr is wkr and (not launch.ended or len(job.launches) < len(self.ready)):
                 return False
@@ -467,8 +513,6 @@
 
     def pick(self, job, now, group):
         """Least contention, then least integrated load (Worst-Fit), then chance (paper, section 4.4)."""
-        # A trouble that most of the fleet shares is no reason to set workers aside.
-        crowd = 2 * self.asides > len(self.ready)
         best, best_over, best_area, best_wait, ties = None, 0.0, 0.0, 0.0, 1
         mean, var, load = job.mean, job.var, job.load
         special = job.launches or job.qt["kind"] >= 0
@@ -476,7 +520,7 @@
         first = int(self.chance() * len(ready)) if look < len(ready) else 0
         for wkr in islice(chain(islice(ready, first, None), islice(ready, first)), len(ready)):
             if wkr.aside or wkr.born or special:
-                if not self.eligible(wkr, job, now, group, crowd):
+                if not self.eligible(wkr, job, now, group):
                     continue
             if look <= 0:
                 break
@@ -523,15 +567,30 @@
 
     def turned_away(self, job, wait, wkr, now):
         """Under overload a queue only makes all answers late: by chance, the cheaper more often."""
-        if wait <= 0:
-            return False
         slack = job.target_at - now - job.mean * self.slowness(wkr, now)
         value = job.qt["utility"] / self.best_utility
         if self.chance() < self.excess(job.tenant):
             value *= self.settings["excess_utility"]
+        if slack > 0:
+            self.slack += GAIN * (slack - self.slack)
+            self.value += GAIN * (value - self.value)
+        if self.pressure > 0 and self.chance() < self.pressure ** (value / self.value):
+            return True
         limit = max(slack, self.settings["step"]) * value ** 0.5
         return wait > limit * (0.5 + 0.5 * self.chance())
 
+    def press(self, now):
+        """Load that is not seen shows late and only where a job went, so the last starts are asked.
+
+        Their median, as one heavy job says nothing of the fleet; summed up over time, as a short trouble
+        common to all passes, and turning jobs away for it loses more than it saves.
+        """
+        queue, since = sorted(self.waits)[len(self.waits) // 2], now - self.pressed_at
+        queue /= 1 + (now - self.queue_at) / self.run.mean
+        self.pressed_at = now
+        self.pressure += (min(queue / self.slack, 2.0) - 0.5) * since / PRESSING
+        self.pressure = min(max(self.pressure, 0.0), 0.9)
+
     def excess(self, tenant):
         """The share of a tenant's traffic that is over its quota, as far as this dispatcher can tell."""
         tenants = self.settings["tenants"]
@@ -556,7 +615,7 @@
     def survey(self):
         """Figures over the whole fleet, once a second: taken for each job they cost more than deciding."""
         ready = self.ready
-        self.asides = sum(1 for wkr in ready if wkr.aside)
+        self.count_asides()
         slots = sum(wkr.peak for wkr in ready) / len(ready) if ready else 1.0
         self.capacity = slots / max(qt["ratio"].mean for qt in self.queue_types)
         settings, rate = self.settings, max(1.0, sum(self.rates) / 3)
@@ -579,26 +638,48 @@
         job.out += 1
         if wkr.born and now - wkr.born < self.settings["cold_for"]:
             wkr.spent.append((now, (job.hint or job.mean) * job.load))
-        self.remind(end, launch)
+        # Not started by the time that a free worker takes to start one: load that is not seen is in its way.
+        slack = job.target_at - now - job.mean * self.slowness(wkr, now)
+        soon = now + int(max(3 * (wkr.quick or 0) + 4 * self.settings["step"], slack / 3))
+        self.remind(soon if self.settings["tells_start"] else end, launch)
         return ("launch", job.id, wkr.id, 0)
 
     def check(self, launch, now):
         """A launch past its estimated end: is its worker silent or slow, and may the job go elsewhere?"""
         wkr, job = launch.wkr, launch.job
+        if launch.began and launch.entry is not None and now < launch.entry[0]:
+            if launch.told:
+                self.remind(launch.entry[0], launch)
+            return
         if launch.began:
             if not launch.told:
                 ratio = (now - launch.began) / launch.mean
                 if ratio > self.slowness(wkr, now):
                     self.learn_slow(wkr, ratio, now)
         elif wkr.heard < launch.sent and now - launch.sent > self.lag.mean + 4 * self.lag.var + self.run.mean:
-            if not wkr.aside:
-                self.set_aside(wkr, "silent", now)
+            self.set_aside(wkr, None, launch, now)
         self.remind(now + int(max(job.var, launch.mean / 2, self.settings["step"])), launch)
-        if job.closed or launch.revoked or job.qt["effect"] != "restartable" or self.spare < 1 or job.out > 1:
+        effect, parallel = job.qt["effect"], self.settings["parallel"]
+        if job.closed or launch.revoked or self.spare < 1 or job.out > 1 or effect == "run-once":
+            return
+        if not parallel and (launch.began or not self.settings["may_revoke"]):
             return
-        if self.settings["parallel"]:
+        if len(job.launches) + 2 > self.settings["launches"]:
+            return
+        best, wait = self.pick(job, now, wkr if effect == "deduplicated" else None)
+        if best is None or wait > 0:
+            return
+        there = now + job.mean * self.slowness(best, now)
+        if launch.began and not wkr.aside:
+            # As long again as it has run: the best guess for a job that outran its estimate.
+            here = launch.entry[0] if launch.told and launch.entry else 2 * now - launch.began
+            if there > min(here, job.target_at):
+                return
+        if effect == "deduplicated" and there > launch.sent + job.qt["window"]:
+            return
+        if parallel and effect == "restartable":
             job.again = True
             self.todo.append(job)
-        elif not launch.began and self.settings["may_revoke"]:
+        else:
             self.spare -= 1
             self.stops.append(launch)
