--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -91,6 +91,7 @@
         self.best_utility = max(qt["utility"] for qt in self.queue_types) or 1.0
         self.run = Estimate(float(min(qt["target"] for qt in self.queue_types)), 0.0)
         self.waits, self.queue_at, self.pressed_at, self.pressure = deque([0], WAITS), now, now, 0.0
+        self.seconds = 1.0
         self.slack, self.value = self.run.mean, 0.5
         self.lag = Estimate(4.0 * settings["step"], 4.0 * settings["step"])
         self.keys, self.workers, self.ready, self.jobs = {}, {}, [], {}
@@ -178,8 +179,10 @@
             return
         lag = now - launch.sent
         wkr.running += launch.load
-        quick = wkr.quick = lag if wkr.quick is None else min(lag, wkr.quick + (wkr.quick >> 6))
-        wait = lag - 3 * quick - 4 * self.settings["step"]
+        step = self.settings["step"]
+        quick = wkr.quick = min(lag, wkr.quick + (wkr.quick >> 9)) if wkr.quick else min(lag, 2 * step)
+        # Rises slowly and starts low, or a dispatcher that starts under overload takes queues for the usual.
+        wait = lag - 3 * quick - 4 * step
         self.lag.learn(lag)
         if wkr.running > wkr.peak:
             wkr.peak = wkr.running
@@ -596,14 +599,15 @@
         tenants = self.settings["tenants"]
         if tenant >= len(tenants) or not tenants[tenant]["quota"]:
             return 0.0
-        rate = self.rates[tenant] / 3.0
+        rate = self.rates[tenant] / self.seconds
         mine = tenants[tenant]["quota"] / self.settings["dispatchers"]
         return max(0.0, 1 - mine / rate) if rate else 0.0
 
     def tidy(self, now):
         """Once a second: traffic fades; speeds stay relative, so what all share moves the estimates."""
         self.tidy_at = now + 1_000_000
-        self.rates = [rate * 2 / 3 for rate in self.rates]
+        self.rates = [rate * 11 / 12 for rate in self.rates]
+        self.seconds += 1 - self.seconds / 12
         self.survey()
         known = [wkr.slow for wkr in self.ready if wkr.slow_at]
         if known:
@@ -618,7 +622,7 @@
         self.count_asides()
         slots = sum(wkr.peak for wkr in ready) / len(ready) if ready else 1.0
         self.capacity = slots / max(qt["ratio"].mean for qt in self.queue_types)
-        settings, rate = self.settings, max(1.0, sum(self.rates) / 3)
+        settings, rate = self.settings, max(1.0, sum(self.rates) / self.seconds)
         budgets = [limit for limit in (settings["cpu_a_job"], settings["cpu_a_second"] / rate) if limit]
         # A large fleet looked at whole for each job would make all jobs late: then a part of it, by chance.
         self.look = max(4, int(min(budgets) / 2 / SWEEP)) if budgets else len(ready)
