--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -644,7 +644,9 @@
             wkr.spent.append((now, (job.hint or job.mean) * job.load))
         # Not started by the time that a free worker takes to start one: load that is not seen is in its way.
         slack = job.target_at - now - job.mean * self.slowness(wkr, now)
-        soon = now + int(max(3 * (wkr.quick or 0) + 4 * self.settings["step"], slack / 3))
+        # A copy is work done twice, a move is not, so a copy has to wait longer.
+        part = 2 if self.settings["parallel"] else 3
+        soon = now + int(max(3 * (wkr.quick or 0) + 4 * self.settings["step"], slack / part))
         self.remind(soon if self.settings["tells_start"] else end, launch)
         return ("launch", job.id, wkr.id, 0)
 
