--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -17,6 +17,7 @@
 MOVES = 0.2  # share of jobs that may be moved or copied, lest a shared trouble doubles the work
 WAITS = 9  # last starts whose median wait tells overload
 PRESSING = 2_000_000  # over this time a full queue becomes rejections
+NEAR = 1.0  # times the variation: integrated loads this close are a tie
 FIRST_SLOTS = 8.0  # the design's start where no worker has shown its slots
 NEVER_RAN = ("full", "unreachable", "unsent")
 KEYS_KEPT = 4096
@@ -516,7 +517,7 @@
 
     def pick(self, job, now, group):
         """Least contention, then least integrated load (Worst-Fit), then chance (paper, section 4.4)."""
-        best, best_over, best_area, best_wait, ties = None, 0.0, 0.0, 0.0, 1
+        best, least, found = None, (0.0, 0.0), []
         mean, var, load = job.mean, job.var, job.load
         special = job.launches or job.qt["kind"] >= 0
         ready, look = self.ready, self.look
@@ -528,19 +529,24 @@
             if look <= 0:
                 break
             look -= 1
-            slow = self.slowness(wkr, now)
-            span = int((mean + var) * slow)
+            span = int((mean + var) * self.slowness(wkr, now))
             extra = self.extra(wkr, now)
-            over, area = self.contention(wkr, now, span, load, var, extra)
-            if best is None or over < best_over or (over == best_over and area < best_area):
-                best, best_over, best_area, ties = wkr, over, area, 1
-                above = wkr.load + load + extra - max(wkr.slots, load)
-                best_wait = above * self.run.mean * slow / wkr.slots if above > 0 else 0.0
-            elif over == best_over and area == best_area:
-                ties += 1
-                if self.chance() * ties < 1:
-                    best = wkr
-        return best, best_wait
+            rank = self.contention(wkr, now, span, load, var, extra)
+            found.append((rank, wkr))
+            if best is None or rank < least:
+                best, least = wkr, rank
+        if best is None:
+            return None, 0.0
+        # Areas closer than the estimator's own variation are a tie; a tie need not cross zones for nothing.
+        over, area = least[0], least[1] + load * var * NEAR
+        near = [wkr for rank, wkr in found if rank[0] == over and rank[1] <= area]
+        if len(near) > 1:
+            if self.settings["price_crossing"]:
+                near = [wkr for wkr in near if wkr.zone == self.settings["zone"]] or near
+            best = near[int(self.chance() * len(near))] if len(near) > 1 else near[0]
+        slow, slots = self.slowness(best, now), best.slots
+        above = best.load + load + self.extra(best, now) - max(slots, load)
+        return best, above * self.run.mean * slow / slots if above > 0 else 0.0
 
     @staticmethod
     def contention(wkr, now, span, load, var, extra):
--- /dev/null
+++ b/tests/test_picks.py
@@ -0,0 +1,89 @@
+"""What the design and its departures pick."""
+
+import pytest
+from helpers import STEP, arrive, balancer, pull, queue_type
+
+
+def run(made, job, now, took, how="completed", start=None):
+    """Sends one job, lets it start and end; gives the worker's record."""
+    arrive(made, now, job)
+    (sent,) = (d for d in pull(made, now) if d[0] == "launch")
+    if how == "completed":
+        made.started(now + (start or 1_000), job, 0)
+    made.ended(now + (start or 1_000) + took, job, 0, how, took, how == "completed", [])
+    return made.workers[sent[2]]
+
+
+def test_least_contention_then_worst_fit():
+    made = balancer(workers=3)
+    for wkr, ends in zip(made.ready, ([50_000] * 9, [], [50_000]), strict=True):
+        wkr.curve = [(end, n, 1.0) for n, end in enumerate(ends)]
+        wkr.load = wkr.running = float(len(ends))
+    arrive(made, hint=1_000_000)
+    assert pull(made, 0)[0][2] == made.ready[1].id
+
+
+@pytest.mark.parametrize(("crossing", "zones"), [(0.01, {0}), (0.0, {0, 1})])
+def test_ties_do_not_cross_zones_where_that_has_a_price(crossing, zones):
+    seen = set()
+    for _ in range(1):
+        made = balancer(workers=4, price_crossing=crossing)
+        for job in range(40):
+            seen.add(run(made, job, job * 1_000_000, 100_000).zone)
+    assert seen == zones
+
+
+def test_errors_set_aside_a_worker_for_that_queue_type_only():
+    made = balancer([queue_type(), queue_type()], workers=4)
+    bad = run(made, 1, 0, 5_000, "error")
+    assert list(bad.aside) == [0]
+    made.asides = {0: 1}
+    kinds = []
+    for job, qtype in ((2, 0), (3, 1)):
+        arrive(made, 6_000, job, qtype)
+        kinds.append(made.eligible(bad, made.jobs[job], 6_000, None))
+    assert kinds == [False, True]
+
+
+def test_trickle_doubles_while_it_goes_well():
+    made = balancer(workers=4)
+    bad = run(made, 1, 0, 5_000, "error")
+    aside, seen = bad.aside[0], []
+    made.jobs.clear()
+    for job in range(2, 40):
+        arrive(made, aside.back_at + job, job)
+        launch_at = made.jobs[job]
+        made.launch(launch_at, bad, aside.back_at + job)
+        made.ended(aside.back_at + job, job, 0, "completed", 1, True, [])
+        seen.append(bad.aside[0].trickle if 0 in bad.aside else None)
+        if seen[-1] is None:
+            break
+    assert seen[0] == 2 and seen[1:3] == [2, 4] and seen[-1] is None
+
+
+def test_start_under_full_queues_is_not_taken_for_the_usual():
+    made = balancer(workers=1)
+    arrive(made)
+    pull(made, 0)
+    made.started(600_000, 1, 0)
+    assert made.waits[-1] > 500_000
+
+
+@pytest.mark.parametrize(("pressure", "turned"), [(0.0, 0), (0.9, 30)])
+def test_pressure_turns_jobs_away(pressure, turned):
+    made = balancer(workers=40)
+    made.pressure, made.pressed_at = pressure, 0
+    sent = []
+    for job in range(40):
+        arrive(made, 0, job)
+        sent += pull(made, 0)
+    assert sum(d[0] == "reject" for d in sent) >= turned
+    assert pressure or all(d[0] == "launch" for d in sent)
+
+
+@pytest.mark.parametrize(("parallel", "what"), [(False, "revoke"), (True, "launch")])
+def test_launch_that_does_not_start_goes_elsewhere(parallel, what):
+    made = balancer(workers=4, parallel=parallel)
+    arrive(made)
+    pull(made, 0)
+    assert [d[0] for d in pull(made, 200_000 + STEP)] == [what]
