No copy of a running job before twice its upper bound

Copies were sent as soon as a job outran its estimate, a fifth of all jobs; most of those were about to end, and each copy cost work and connections.

--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -685,6 +685,8 @@
         if launch.began and not wkr.aside:
             # As long again as it has run: the best guess for a job that outran its estimate.
             here = launch.entry[0] if launch.told and launch.entry else 2 * now - launch.began
+            if not launch.told and now - launch.began < 2 * (job.mean + job.var):
+                return  # a hint is often this wrong, and a copy of a job that is about to end is waste
             if there > min(here, job.target_at):
                 return
         if effect == "deduplicated" and there > launch.sent + job.qt["window"]:
