--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -16,7 +16,7 @@
 SPREAD = 1.0  # the paper's kappa
 MOVES = 0.2  # share of jobs that may be moved or copied, lest a shared trouble doubles the work
 WAITS = 9  # last starts whose median wait tells overload
-PRESSING = 2_000_000  # over this time a full queue becomes rejections
+PRESSING = 4_000_000  # over this time a full queue becomes rejections
 NEAR = 1.0  # times the variation: integrated loads this close are a tie
 FIRST_SLOTS = 8.0  # the design's start where no worker has shown its slots
 NEVER_RAN = ("full", "unreachable", "unsent")
@@ -92,6 +92,7 @@
         self.best_utility = max(qt["utility"] for qt in self.queue_types) or 1.0
         self.run = Estimate(float(min(qt["target"] for qt in self.queue_types)), 0.0)
         self.waits, self.queue_at, self.pressed_at, self.pressure = deque([0], WAITS), now, now, 0.0
+        self.built = 0.0
         self.seconds = 1.0
         self.slack, self.value = self.run.mean, 0.5
         self.lag = Estimate(4.0 * settings["step"], 4.0 * settings["step"])
@@ -597,8 +598,9 @@
         queue, since = sorted(self.waits)[len(self.waits) // 2], now - self.pressed_at
         queue /= 1 + (now - self.queue_at) / self.run.mean
         self.pressed_at = now
-        self.pressure += (min(queue / self.slack, 2.0) - 0.5) * since / PRESSING
-        self.pressure = min(max(self.pressure, 0.0), 0.9)
+        above = min(queue / self.slack, 2.0) - 0.5
+        self.built = min(max(self.built + above * since / PRESSING, 0.0), 0.9)
+        self.pressure = min(self.built + max(above, 0.0) / 2, 0.9)
 
     def excess(self, tenant):
         """The share of a tenant's traffic that is over its quota, as far as this dispatcher can tell."""
--- a/tests/test_picks.py
+++ b/tests/test_picks.py
@@ -72,7 +72,7 @@
 @pytest.mark.parametrize(("pressure", "turned"), [(0.0, 0), (0.9, 30)])
 def test_pressure_turns_jobs_away(pressure, turned):
     made = balancer(workers=40)
-    made.pressure, made.pressed_at = pressure, 0
+    made.built, made.pressed_at = pressure, 0
     sent = []
     for job in range(40):
         arrive(made, 0, job)
