--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -20,6 +20,7 @@
 NEAR = 1.0  # times the variation: integrated loads this close are a tie
 FIRST_SLOTS = 8.0  # the design's start where no worker has shown its slots
 NEVER_RAN = ("full", "unreachable", "unsent")
+CUT_OFF = -1  # why a worker that takes no connection is set aside; None: lost or silent; else a queue type
 KEYS_KEPT = 4096
 LONGEST_PAUSE = 4_000_000  # between two trials of a worker that was set aside
 SWEEP = 0.2  # microseconds, in the settings' measure, that looking at one worker takes
@@ -317,7 +318,7 @@
             wkr.heard = wkr.extra_at = now
             wkr.extra = 2 * wkr.slots
         elif how in ("unreachable", "lost"):
-            self.set_aside(wkr, None, launch, now)
+            self.set_aside(wkr, CUT_OFF if how == "unreachable" else None, launch, now)
 
     def set_aside(self, wkr, why, launch, now):
         aside = wkr.aside.get(why)
@@ -331,7 +332,7 @@
 
     def goes_well(self, wkr, launch):
         """What was sent before it was set aside proves nothing of how it does now."""
-        for why in (None, launch.job.qt["n"]):
+        for why in (None, CUT_OFF, launch.job.qt["n"]):
             aside = wkr.aside.get(why)
             if aside is not None and launch.sent >= aside.back_at:
                 aside.good += 1
@@ -493,13 +494,15 @@
             scope = job.qt["group"]
             if (scope == "zone" and wkr.zone != group.zone) or (scope == "cell" and wkr.cell != group.cell):
                 return False
-        for why in (None, job.qt["n"]) if wkr.aside else ():
+        for why in (None, CUT_OFF, job.qt["n"]) if wkr.aside else ():
             aside = wkr.aside.get(why)
             # A trouble that most of the fleet shares is no reason to set workers aside.
-            if aside is not None and 2 * self.asides.get(why, 0) <= len(self.ready):
+            # But no connection is no slowness: with a zone cut off, those that are left carry the jobs.
+            most = len(self.ready) - 1 if why == CUT_OFF else len(self.ready) / 2
+            if aside is not None and self.asides.get(why, 0) <= most:
                 if now < aside.back_at or len(wkr.out) >= aside.trickle:
                     return False
-                if why is None and job.qt["effect"] == "run-once":
+                if why in (None, CUT_OFF) and job.qt["effect"] == "run-once":
                     return False
         for launch in job.launches:
             if launch.wkr is wkr and (not launch.ended or len(job.launches) < len(self.ready)):
@@ -530,9 +533,14 @@
             if look <= 0:
                 break
             look -= 1
-            span = int((mean + var) * self.slowness(wkr, now))
-            extra = self.extra(wkr, now)
-            rank = self.contention(wkr, now, span, load, var, extra)
+            # CPU is scarce and this runs for each worker and job: no call where its answer is plain.
+            slow = wkr.slow if wkr.slow <= 1 and not wkr.born else self.slowness(wkr, now)
+            extra = self.extra(wkr, now) if wkr.extra or wkr.running < wkr.load else 0.0
+            span = int((mean + var) * slow)
+            if wkr.curve or extra:
+                rank = self.contention(wkr, now, span, load, var, extra)
+            else:
+                rank = 0.0, load * span
             found.append((rank, wkr))
             if best is None or rank < least:
                 best, least = wkr, rank
--- a/tests/test_picks.py
+++ b/tests/test_picks.py
@@ -87,3 +87,15 @@
     arrive(made)
     pull(made, 0)
     assert [d[0] for d in pull(made, 200_000 + STEP)] == [what]
+
+
+@pytest.mark.parametrize(("why", "kept_out"), [(-1, True), (None, False)])
+def test_a_cut_off_zone_stays_set_aside_though_it_is_most_of_the_fleet(why, kept_out):
+    made = balancer(workers=4)
+    arrive(made)
+    pull(made, 0)
+    launch = made.jobs[1].launches[0]
+    for wkr in made.ready[:3]:
+        made.set_aside(wkr, why, launch, 0)
+    arrive(made, 1_000, 2)
+    assert made.eligible(made.ready[0], made.jobs[2], 1_000, None) is not kept_out
