--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -526,13 +526,13 @@
         special = job.launches or job.qt["kind"] >= 0
         ready, look = self.ready, self.look
         first = int(self.chance() * len(ready)) if look < len(ready) else 0
-        for wkr in islice(chain(islice(ready, first, None), islice(ready, first)), len(ready)):
+        for seen, wkr in enumerate(chain(islice(ready, first, None), islice(ready, first))):
+            # Cold workers without budget cost a look too: a grown fleet is mostly those.
+            if len(found) >= look or (found and seen >= 2 * look):
+                break
             if wkr.aside or wkr.born or special:
                 if not self.eligible(wkr, job, now, group):
                     continue
-            if look <= 0:
-                break
-            look -= 1
             # CPU is scarce and this runs for each worker and job: no call where its answer is plain.
             slow = wkr.slow if wkr.slow <= 1 and not wkr.born else self.slowness(wkr, now)
             extra = self.extra(wkr, now) if wkr.extra or wkr.running < wkr.load else 0.0
