Ties fall by declared size: at full size most ranks tie, and one zone got all of them

Cause: with some hundred dispatchers a load curve of own jobs is nearly always empty, so most ranks tie; ties kept to the own zone (4 of 16 workers in one zone, 12 in the other) and fell alike on workers of 2.5 and 5.5 units.

--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -549,14 +549,20 @@
         # Areas closer than the estimator's own variation are a tie; a tie need not cross zones for nothing.
         over, area = least[0], least[1] + load * var * NEAR
         near = [wkr for rank, wkr in found if rank[0] == over and rank[1] <= area]
-        if len(near) > 1:
-            if self.settings["price_crossing"]:
-                near = [wkr for wkr in near if wkr.zone == self.settings["zone"]] or near
-            best = near[int(self.chance() * len(near))] if len(near) > 1 else near[0]
+        best = self.one_of(near)
         slow, slots = self.slowness(best, now), best.slots
         above = best.load + load + self.extra(best, now) - max(slots, load)
         return best, above * self.run.mean * slow / slots if above > 0 else 0.0
 
+    def one_of(self, near):
+        """By chance, by declared size: most ranks tie where each dispatcher has few jobs out."""
+        left = self.chance() * sum(wkr.units for wkr in near)
+        for wkr in near:
+            left -= wkr.units
+            if left <= 0:
+                return wkr
+        return near[-1]
+
     @staticmethod
     def contention(wkr, now, span, load, var, extra):
         curve, level = wkr.curve, wkr.load + load + extra
