--- a/mastledge/adapter/settings.py
+++ b/mastledge/adapter/settings.py
@@ -43,6 +43,7 @@
     "most_hold_off": ("limits.maxRetryAfterMs", us, 0),
     "parallel": ("limits.parallelTries", flag, False),
     "launches": ("limits.maxLaunches", int, REQUIRED),
+    "conn_idle": ("limits.connIdleMs", us, 5_000_000),
     "connect_timeout": ("limits.connectTimeoutMs", us, 250_000),
     "cpu_a_second": ("limits.cpuUsPerS", float, 0.0),
     "cpu_a_job": ("limits.cpuUsPerRequest", float, 0.0),
--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -22,6 +22,8 @@
 NEVER_RAN = ("full", "unreachable", "unsent")
 CUT_OFF = -1  # why a worker that takes no connection is set aside; None: lost or silent; else a queue type
 KEYS_KEPT = 4096
+COLD = 0.4  # of a cold worker's budget, where all that is completed is all that can be
+PART = 6  # workers that a dispatcher of little traffic keeps to
 LONGEST_PAUSE = 4_000_000  # between two trials of a worker that was set aside
 SWEEP = 0.2  # microseconds, in the settings' measure, that looking at one worker takes
 
@@ -45,22 +47,32 @@
 
 class Worker:
     __slots__ = ("id", "zone", "kind", "cell", "units", "state", "born", "out", "curve", "load", "running",
-                 "slots", "peak", "slow", "slow_at", "extra", "extra_at", "heard", "quick", "aside",
-                 "spent")
+                 "slots", "peak", "slow", "extra", "extra_at", "heard", "quick", "aside", "kin",
+                 "credit", "draw", "drawn_at", "asked_at")
 
-    def __init__(self, wkr_id, slots):
-        self.id, self.slots, self.out = wkr_id, slots, {}
+    def __init__(self, wkr_id, slots, kin, now):
+        self.id, self.slots, self.out, self.kin = wkr_id, slots, {}, kin
         self.state = "ready"
-        self.fresh(0)
+        self.fresh(0, now)
 
-    def fresh(self, born):
+    def fresh(self, born, now):
         """A new life: what was out on the former one must not weigh on it, and it is cold again."""
         for launch in self.out.values():
             launch.entry = None
         self.born, self.out, self.curve, self.load, self.running, self.peak = born, {}, [], 0.0, 0.0, 1.0
-        self.slow, self.slow_at, self.extra, self.extra_at, self.heard, self.quick = 1.0, 0, 0.0, 0, 0, None
+        self.slow, self.extra, self.extra_at, self.heard, self.quick = self.kin.slow, 0.0, 0, 0, None
         self.aside = {}
-        self.spent = deque()
+        # No credit for the time before it was known.
+        self.credit, self.draw, self.drawn_at, self.asked_at = 0.0, 1.0, now, now
+
+
+class Kin:
+    """What workers of one zone and kind share: with little traffic a dispatcher meets each too rarely."""
+
+    __slots__ = ("slow", "queue")
+
+    def __init__(self):
+        self.slow, self.queue = 1.0, 0.0
 
 
 class Aside:
@@ -93,11 +105,11 @@
         self.best_utility = max(qt["utility"] for qt in self.queue_types) or 1.0
         self.run = Estimate(float(min(qt["target"] for qt in self.queue_types)), 0.0)
         self.waits, self.queue_at, self.pressed_at, self.pressure = deque([0], WAITS), now, now, 0.0
-        self.built = 0.0
+        self.built, self.work, self.done = 0.0, 0.0, 0.0
         self.seconds = 1.0
         self.slack, self.value = self.run.mean, 0.5
         self.lag = Estimate(4.0 * settings["step"], 4.0 * settings["step"])
-        self.keys, self.workers, self.ready, self.jobs = {}, {}, [], {}
+        self.keys, self.workers, self.ready, self.part, self.jobs, self.kins = {}, {}, [], [], {}, {}
         self.todo, self.stops, self.held, self.due, self.dues = deque(), deque(), deque(), [], 0
         self.spare = 2.0
         self.tidy_at = now
@@ -135,10 +147,11 @@
             if wkr is None:
                 others = [w.slots for w in self.ready]
                 slots = sum(others) / len(others) if others else FIRST_SLOTS
-                wkr = self.workers[wkr_id] = Worker(wkr_id, slots)
+                kin = self.kins.setdefault((zone, cls), Kin())
+                wkr = self.workers[wkr_id] = Worker(wkr_id, slots, kin, now)
                 wkr.born = born
             elif born > wkr.born:
-                wkr.fresh(born)
+                wkr.fresh(born, now)
             wkr.zone, wkr.kind, wkr.cell, wkr.units, wkr.state = zone, cls, cell, units, state
         if kind != "changes":
             for wkr in self.workers.values():
@@ -198,10 +211,12 @@
         if wait > 0:
             # What made it wait is load that this dispatcher cannot see.
             wkr.slots += GAIN * (max(wkr.peak, wkr.running) - wkr.slots)
-            wkr.extra = max(0.0, wkr.slots - wkr.running) + wait * wkr.slots / self.run.mean / 2
+            extra = max(0.0, wkr.slots - wkr.running) + wait * wkr.slots / self.run.mean / 2
+            wkr.kin.queue += GAIN * (extra - wkr.kin.queue)
         else:
-            wkr.extra = min(self.extra(wkr, now), max(0.0, wkr.slots - wkr.running))
-        wkr.extra_at = now
+            extra = min(self.extra(wkr, now), max(0.0, wkr.slots - wkr.running))
+            wkr.kin.queue -= GAIN * wkr.kin.queue
+        wkr.extra, wkr.extra_at = extra, now
         end = now + int((launch.mean + job.var) * self.slowness(wkr, now))
         self.move(launch, end)
         self.remind(end, launch)
@@ -303,6 +318,7 @@
             slow = self.slowness(wkr, now)
             self.learn_slow(wkr, run / launch.mean, now)
             self.run.learn(run)
+            self.work += (job.hint or job.mean) * job.load
             qt["run"].learn(run)
             if job.hint:
                 qt["ratio"].learn(min(run / slow, 8 * launch.mean) / job.hint)
@@ -349,14 +365,9 @@
                 self.asides[why] = self.asides.get(why, 0) + 1
 
     def learn_slow(self, wkr, ratio, now):
-        wkr.slow = self.memory(wkr, now)
         wkr.slow += GAIN * (min(ratio, 8.0 * wkr.slow) - wkr.slow)
-        wkr.slow_at = now
-
-    def memory(self, wkr, now):
-        """Learned slowness fades: a worker avoided for it is never measured again otherwise."""
-        age = (now - wkr.slow_at) / (16 * self.run.mean + 1)
-        return 1 + (wkr.slow - 1) / (1 + age * age) if wkr.slow > 1 else wkr.slow
+        kin = wkr.kin
+        kin.slow += GAIN * (min(ratio, 2.0 * kin.slow) - kin.slow)
 
     def warmth(self, wkr, now):
         """The least share of its capacity that a worker can have by now."""
@@ -367,11 +378,11 @@
         return low + (1 - low) * max(0, age) / cold_for
 
     def slowness(self, wkr, now):
-        return self.memory(wkr, now) / (self.warmth(wkr, now) if wkr.born else 1.0)
+        return wkr.slow / self.warmth(wkr, now) if wkr.born else wkr.slow
 
-    def extra(self, wkr, now):
-        """Load of others, as last seen, fading; never less than what keeps own jobs waiting."""
-        extra = wkr.extra / (1 + (now - wkr.extra_at) / self.run.mean) if wkr.extra else 0.0
+    def extra(self, wkr, now, usual=0.0):
+        """Load of others, as last seen, fading to the usual; never less than what keeps own jobs waiting."""
+        extra = usual + (wkr.extra - usual) / (1 + (now - wkr.extra_at) / self.run.mean)
         if wkr.running < wkr.load:
             for launch in wkr.out.values():
                 if not launch.began:
@@ -510,32 +521,39 @@
         return not wkr.born or now - wkr.born >= self.settings["cold_for"] or self.cold_room(wkr, job, now)
 
     def cold_room(self, wkr, job, now):
-        """Cold workers fall over under the sum of all dispatchers: each keeps to its own part."""
-        settings = self.settings
-        spent, window = wkr.spent, settings["fall_for"]
-        while spent and spent[0][0] <= now - window:
-            spent.popleft()
-        capacity = self.warmth(wkr, now) * self.capacity
-        budget = 0.7 * settings["fall_multiple"] * capacity * window / settings["dispatchers"]
-        return sum(work for _, work in spent) + (job.hint or job.mean) * job.load <= budget
+        """Cold workers fall over under the sum of all dispatchers; one part in their number is below a job.
+
+        What all complete is no more than all can do, so a part set against this dispatcher's completed work a
+        worker sums up safely however traffic is spread. Below a job it is a matter of chance, drawn anew each
+        half window, and what was not used is not saved longer: idle dispatchers must not come all at once.
+        """
+        settings, work = self.settings, (job.hint or job.mean) * job.load
+        half, room = settings["fall_for"] // 2, settings["fall_multiple"] * self.warmth(wkr, now)
+        rate = room * max(COLD * self.done, 0.7 * self.capacity / settings["dispatchers"])
+        wkr.credit, wkr.asked_at = min(wkr.credit + rate * (now - wkr.asked_at), rate * half), now
+        if now >= wkr.drawn_at + half:
+            wkr.draw, wkr.drawn_at = self.chance(), now
+        return work <= room * self.capacity * half / 2 and wkr.credit > wkr.draw * work
 
     def pick(self, job, now, group):
         """Least contention, then least integrated load (Worst-Fit), then chance (paper, section 4.4)."""
         best, least, found = None, (0.0, 0.0), []
         mean, var, load = job.mean, job.var, job.load
         special = job.launches or job.qt["kind"] >= 0
-        ready, look = self.ready, self.look
-        first = int(self.chance() * len(ready)) if look < len(ready) else 0
-        for seen, wkr in enumerate(chain(islice(ready, first, None), islice(ready, first))):
-            # Cold workers without budget cost a look too: a grown fleet is mostly those.
-            if len(found) >= look or (found and seen >= 2 * look):
+        part = () if special else self.part
+        size, look = max(4, len(self.part)), self.look
+        first = int(self.chance() * len(self.ready))
+        rest = islice(chain(self.ready[first:], self.ready[:first]) if special or self.beyond else (), None)
+        for seen, wkr in enumerate(chain(part, rest)):
+            # Past the own part only while no worker is free, and no further than the CPU allows.
+            if seen >= size and found and (least[0] <= 0 or seen >= look):
                 break
             if wkr.aside or wkr.born or special:
                 if not self.eligible(wkr, job, now, group):
                     continue
             # CPU is scarce and this runs for each worker and job: no call where its answer is plain.
-            slow = wkr.slow if wkr.slow <= 1 and not wkr.born else self.slowness(wkr, now)
-            extra = self.extra(wkr, now) if wkr.extra or wkr.running < wkr.load else 0.0
+            slow = self.slowness(wkr, now) if wkr.born else wkr.slow
+            extra = self.extra(wkr, now, wkr.kin.queue)
             span = int((mean + var) * slow)
             if wkr.curve or extra:
                 rank = self.contention(wkr, now, span, load, var, extra)
@@ -550,6 +568,9 @@
         over, area = least[0], least[1] + load * var * NEAR
         near = [wkr for rank, wkr in found if rank[0] == over and rank[1] <= area]
         best = self.one_of(near)
+        if self.beyond and not special and best not in part:
+            # None of the part was free, so any of it may go for the one that was.
+            part[int(self.chance() * len(part))] = best
         slow, slots = self.slowness(best, now), best.slots
         above = best.load + load + self.extra(best, now) - max(slots, load)
         return best, above * self.run.mean * slow / slots if above > 0 else 0.0
@@ -629,14 +650,18 @@
         """Once a second: traffic fades; speeds stay relative, so what all share moves the estimates."""
         self.tidy_at = now + 1_000_000
         self.rates = [rate * 11 / 12 for rate in self.rates]
+        self.work *= 11 / 12
         self.seconds += 1 - self.seconds / 12
         self.survey()
-        known = [wkr.slow for wkr in self.ready if wkr.slow_at]
-        if known:
-            mean = sum(known) / len(known)
+        # Learned slowness fades: a worker avoided for it is never measured again otherwise.
+        fade = min(1.0, 1_000_000 / (16 * self.run.mean + 1))
+        if self.ready:
+            mean = sum(wkr.slow for wkr in self.ready) / len(self.ready)
+            for kin in self.kins.values():
+                kin.slow /= mean
             for wkr in self.ready:
-                if wkr.slow_at:
-                    wkr.slow /= mean
+                wkr.slow /= mean
+                wkr.slow += fade * (wkr.kin.slow - wkr.slow)
 
     def survey(self):
         """Figures over the whole fleet, once a second: taken for each job they cost more than deciding."""
@@ -646,8 +671,23 @@
         self.capacity = slots / max(qt["ratio"].mean for qt in self.queue_types)
         settings, rate = self.settings, max(1.0, sum(self.rates) / self.seconds)
         budgets = [limit for limit in (settings["cpu_a_job"], settings["cpu_a_second"] / rate) if limit]
-        # A large fleet looked at whole for each job would make all jobs late: then a part of it, by chance.
+        # A large fleet looked at whole for each job would make all jobs late.
         self.look = max(4, int(min(budgets) / 2 / SWEEP)) if budgets else len(ready)
+        # A dispatcher keeps to as many workers as it can know: beyond, what it learned of one is old before
+        # it comes again, and each job costs a connection. Parts differ, so all workers are in some.
+        size = max(PART, int(rate * settings["conn_idle"] / 2e6))
+        self.beyond, size = size < len(ready), min(size, len(ready))
+        part = ready
+        if self.beyond:
+            part = [wkr for wkr in self.part if wkr.state == "ready" and not wkr.aside][:size]
+        for _ in range(8 * size):
+            if len(part) >= size:
+                break
+            wkr = self.one_of(ready)
+            if wkr not in part and not wkr.aside:
+                part.append(wkr)
+        self.part = part
+        self.done = max(self.done * 0.99, self.work / self.seconds / 1e6 / max(1, len(part)))
 
     def launch(self, job, wkr, now):
         launch = Launch()
@@ -663,7 +703,8 @@
         job.launches.append(launch)
         job.out += 1
         if wkr.born and now - wkr.born < self.settings["cold_for"]:
-            wkr.spent.append((now, (job.hint or job.mean) * job.load))
+            wkr.credit -= (job.hint or job.mean) * job.load
+            wkr.draw, wkr.drawn_at = self.chance(), now
         # Not started by the time that a free worker takes to start one: load that is not seen is in its way.
         slack = job.target_at - now - job.mean * self.slowness(wkr, now)
         # A copy is work done twice, a move is not, so a copy has to wait longer.
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -55,9 +55,9 @@
         made = balancer(workers=0, dispatchers=dispatchers, seed=me)
         made.members(0, "whole", [cold])
         for now in range(100_000, 4_000_000, 100_000):
-            arrive(made, now, now, hint=20_000)
+            arrive(made, now, now, hint=40_000)
             sent += [now for d in pull(made, now) if d[0] == "launch"]
-    worst = max(sum(20_000 for at in sent if now <= at < now + 2_000_000) for now in sent)
+    worst = max(sum(40_000 for at in sent if now <= at < now + 2_000_000) for now in sent)
     assert 0 < worst <= 2.5 * (0.2 + 0.8 * 0.4) * 2_000_000
 
 
