--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -567,6 +567,9 @@
         # Areas closer than the estimator's own variation are a tie; a tie need not cross zones for nothing.
         over, area = least[0], least[1] + load * var * NEAR
         near = [wkr for rank, wkr in found if rank[0] == over and rank[1] <= area]
+        if self.settings["price_crossing"]:
+            # The usual queues are in the areas, so a crowded zone is no tie; a tie need not cross for nothing.
+            near = [wkr for wkr in near if wkr.zone == self.settings["zone"]] or near
         best = self.one_of(near)
         if self.beyond and not special and best not in part:
             # None of the part was free, so any of it may go for the one that was.
