Late starts are turned away under pressure where no copy may run; cold credit against completed work doubled

Cause: under overload at size half of what is taken ends late, and each late start takes the room of one in time. It acts where the pressure is above what a late answer is worth.

--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -22,7 +22,7 @@
 NEVER_RAN = ("full", "unreachable", "unsent")
 CUT_OFF = -1  # why a worker that takes no connection is set aside; None: lost or silent; else a queue type
 KEYS_KEPT = 4096
-COLD = 0.4  # of a cold worker's budget, where all that is completed is all that can be
+COLD = 0.8  # of a cold worker's budget, where all that is completed is all that can be
 PART = 6  # workers that a dispatcher of little traffic keeps to
 LONGEST_PAUSE = 4_000_000  # between two trials of a worker that was set aside
 SWEEP = 0.2  # microseconds, in the settings' measure, that looking at one worker takes
@@ -731,6 +731,13 @@
             self.set_aside(wkr, None, launch, now)
         self.remind(now + int(max(job.var, launch.mean / 2, self.settings["step"])), launch)
         effect, parallel = job.qt["effect"], self.settings["parallel"]
+        waits = effect == "restartable" and not (parallel or launch.began) and self.settings["may_revoke"]
+        late = now + job.mean * self.slowness(wkr, now) > job.target_at
+        if waits and late and self.pressure > job.qt["late_utility"]:
+            # Under overload a start that comes too late takes the room of one in time, and so on for all.
+            job.last = now
+            self.todo.append(job)
+            return
         if job.closed or launch.revoked or self.spare < 1 or job.out > 1 or effect == "run-once":
             return
         if not parallel and (launch.began or not self.settings["may_revoke"]):
--- a/tests/test_picks.py
+++ b/tests/test_picks.py
@@ -98,3 +98,12 @@
         made.set_aside(wkr, why, launch, 0)
     arrive(made, 1_000, 2)
     assert made.eligible(made.ready[0], made.jobs[2], 1_000, None) is not kept_out
+
+
+@pytest.mark.parametrize(("pressure", "then"), [(0.0, []), (0.8, ["reject", "revoke"])])
+def test_under_pressure_what_can_no_longer_start_in_time_is_turned_away(pressure, then):
+    made = balancer(workers=1)
+    arrive(made)
+    pull(made, 0)
+    made.pressure = pressure
+    assert sorted(d[0] for d in pull(made, 800_000)) == then
