Moves and copies are saved up for a second only: a release no longer starts a flood of copies

Cause: 150 dispatchers each held ten saved copies, so when a release began every job was sent twice at once (1.96 launches a job, 78% late).

--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -176,7 +176,9 @@
         # A later try's time is counted from the client's first one.
         job.target_at = now + aim - max(0, qt["most_patience"] - patience)
         self.rates[tenant if tenant < len(self.rates) else 0] += 1.0
-        self.spare = min(10.0, self.spare + (MOVES if self.settings["parallel"] else 0.5))
+        # What was not used is saved for a second only: of hundreds of dispatchers none may save for a flood.
+        share = MOVES if self.settings["parallel"] else 0.5
+        self.spare = min(1 + share * self.rate, self.spare + share)
         self.jobs[job_id] = job
         self.todo.append(job)
         self.remind(job.last, job)
@@ -672,6 +674,7 @@
         slots = sum(wkr.peak for wkr in ready) / len(ready) if ready else 1.0
         self.capacity = slots / max(qt["ratio"].mean for qt in self.queue_types)
         settings, rate = self.settings, max(1.0, sum(self.rates) / self.seconds)
+        self.rate = rate
         budgets = [limit for limit in (settings["cpu_a_job"], settings["cpu_a_second"] / rate) if limit]
         # A large fleet looked at whole for each job would make all jobs late.
         self.look = max(4, int(min(budgets) / 2 / SWEEP)) if budgets else len(ready)
