--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -177,7 +177,7 @@
         job.target_at = now + aim - max(0, qt["most_patience"] - patience)
         self.rates[tenant if tenant < len(self.rates) else 0] += 1.0
         # What was not used is saved for a second only: of hundreds of dispatchers none may save for a flood.
-        share = MOVES if self.settings["parallel"] else 0.5
+        share = MOVES if self.settings["parallel"] or self.pressure else 1.0
         self.spare = min(1 + share * self.rate, self.spare + share)
         self.jobs[job_id] = job
         self.todo.append(job)
