--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -177,7 +177,9 @@
         job.target_at = now + aim - max(0, qt["most_patience"] - patience)
         self.rates[tenant if tenant < len(self.rates) else 0] += 1.0
         # What was not used is saved for a second only: of hundreds of dispatchers none may save for a flood.
-        share = MOVES if self.settings["parallel"] or self.pressure else 1.0
+        # Under overload a copy is work for nothing, and a move loses its place in a queue for another's end.
+        free, pressed = (MOVES, 0.0) if self.settings["parallel"] else (1.0, MOVES)
+        share = pressed if self.pressure else free
         self.spare = min(1 + share * self.rate, self.spare + share)
         self.jobs[job_id] = job
         self.todo.append(job)
