--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -17,7 +17,6 @@
 MOVES = 0.2  # share of jobs that may be moved or copied, lest a shared trouble doubles the work
 WAITS = 9  # last starts whose median wait tells overload
 PRESSING = 4_000_000  # over this time a full queue becomes rejections
-NEAR = 1.0  # times the variation: integrated loads this close are a tie
 FIRST_SLOTS = 8.0  # the design's start where no worker has shown its slots
 NEVER_RAN = ("full", "unreachable", "unsent")
 CUT_OFF = -1  # why a worker that takes no connection is set aside; None: lost or silent; else a queue type
@@ -86,12 +85,12 @@
 
 class Job:
     __slots__ = ("id", "qt", "key", "hint", "load", "tenant", "arrived", "target_at", "last", "launches",
-                 "out", "closed", "streaming", "mean", "var", "held", "again")
+                 "out", "closed", "streaming", "mean", "var", "again")
 
 
 class Launch:
     __slots__ = ("job", "wkr", "n", "sent", "began", "load", "mean", "entry", "ended", "may_have_run",
-                 "revoked", "told")
+                 "revoked")
 
 
 class Balancer:
@@ -110,7 +109,7 @@
         self.slack, self.value = self.run.mean, 0.5
         self.lag = Estimate(4.0 * settings["step"], 4.0 * settings["step"])
         self.keys, self.workers, self.ready, self.part, self.jobs, self.kins = {}, {}, [], [], {}, {}
-        self.todo, self.stops, self.held, self.due, self.dues = deque(), deque(), deque(), [], 0
+        self.todo, self.stops, self.due, self.dues = deque(), deque(), [], 0
         self.spare = 2.0
         self.tidy_at = now
         self.following, self.fails, self.ask_at = settings["follow"] == "pushed", 0, None
@@ -159,7 +158,6 @@
                     wkr.state = "gone"
         self.ready = [wkr for wkr in self.workers.values() if wkr.state == "ready"]
         self.survey()
-        self.recall()
 
     def arrived(self, now, job_id, qtype, hint, key, width, memory, tenant, patience):
         job, qt = Job(), self.queue_types[qtype]
@@ -167,7 +165,7 @@
         job.tenant, job.arrived = tenant, now
         job.load = max(width, memory)
         job.launches, job.out, job.closed, job.streaming = [], 0, False, False
-        job.held, job.again = False, False
+        job.again = False
         # Two steps early: a timer is rung at a step's end, and the answer takes effect there.
         job.last = now + max(0, patience - 2 * self.settings["step"])
         qt["most_patience"] = max(qt["most_patience"], patience)
@@ -226,14 +224,8 @@
 
     def progress(self, now, job_id, n, share):
         launch = self.find(job_id, n)
-        if launch is None or launch.ended or not launch.began:
-            return
-        launch.wkr.heard = now
-        if share > 0.02 and launch.entry is not None:
-            total = (now - launch.began) / min(share, 1.0)
-            self.move(launch, launch.began + int(total))
-            launch.told = True
-            self.learn_slow(launch.wkr, total / launch.mean, now)
+        if launch is not None and not launch.ended:
+            launch.wkr.heard = now
 
     def ended(self, now, job_id, n, how, lag, final, report):
         job, launch = self.jobs.get(job_id), self.find(job_id, n)
@@ -252,7 +244,6 @@
             self.todo.append(job)
         if job.closed and not job.out:
             self.jobs.pop(job_id, None)
-        self.recall()
 
     def streaming(self, now, job_id, n):
         launch = self.find(job_id, n)
@@ -394,12 +385,6 @@
                     break
         return extra
 
-    def recall(self):
-        if self.held:
-            job = self.held.popleft()
-            job.held = False
-            self.todo.append(job)
-
     def close(self, job):
         job.closed = True
         if job.out:
@@ -474,7 +459,7 @@
                 return None
             if now >= max(job.target_at, job.arrived + self.settings["connect_timeout"]):
                 return self.give_up(job, self.settings["connect_timeout"])
-            self.hold(job, now)
+            self.remind(now + 5 * self.settings["step"], job)
             return None
         self.press(now)
         if not job.launches and self.turned_away(job, wait, best, now):
@@ -483,12 +468,6 @@
             self.spare -= 1
         return self.launch(job, best, now)
 
-    def hold(self, job, now):
-        if not job.held:
-            job.held = True
-            self.held.append(job)
-        self.remind(now + 5 * self.settings["step"], job)
-
     def give_up(self, job, hold_off):
         """A rejection says that trying again is harmless; where that is not known the job is killed."""
         effect, maybe = job.qt["effect"], any(ln.may_have_run or not ln.ended for ln in job.launches)
@@ -568,7 +547,7 @@
         if best is None:
             return None, 0.0
         # Areas closer than the estimator's own variation are a tie; a tie need not cross zones for nothing.
-        over, area = least[0], least[1] + load * var * NEAR
+        over, area = least[0], least[1] + load * var
         near = [wkr for rank, wkr in found if rank[0] == over and rank[1] <= area]
         if self.settings["price_crossing"]:
             # Usual queues are in the areas, so a crowded zone is no tie; a tie need not cross for nothing.
@@ -592,29 +571,18 @@
 
     @staticmethod
     def contention(wkr, now, span, load, var, extra):
-        curve, level = wkr.curve, wkr.load + load + extra
-        area = (load + extra) * span
-        above = level - max(wkr.slots, load)
-        if above <= 0:
-            for end, _, width in curve:
-                left = end - now
-                if left <= 0:
-                    left = var  # overdue: it counts until now plus the variation
-                area += width * (left if left < span else span)
-            return 0.0, area
-        over, at = 0.0, 0
-        ends = [(end - now if end > now else int(var), width) for end, _, width in curve]
-        ends.sort()
+        above = wkr.load + load + extra - max(wkr.slots, load)
+        over, at, area = 0.0, 0, (load + extra) * span
+        # An overdue job counts until now plus the variation.
+        ends = [(min(end - now if end > now else int(var), span), width) for end, _, width in wkr.curve]
+        if above > 0:
+            ends.sort()
         for left, width in ends:
-            left = min(left, span)
             area += width * left
             if above > 0:
                 over += above * (left - at)
-                at = left
-                above -= width
-        if above > 0:
-            over += above * (span - at)
-        return over, area
+                at, above = left, above - width
+        return over + max(above, 0.0) * (span - at), area
 
     def turned_away(self, job, wait, wkr, now):
         """Under overload a queue only makes all answers late: by chance, the cheaper more often."""
@@ -676,7 +644,6 @@
         slots = sum(wkr.peak for wkr in ready) / len(ready) if ready else 1.0
         self.capacity = slots / max(qt["ratio"].mean for qt in self.queue_types)
         settings, rate = self.settings, max(1.0, sum(self.rates) / self.seconds)
-        self.rate = rate
         budgets = [limit for limit in (settings["cpu_a_job"], settings["cpu_a_second"] / rate) if limit]
         # A large fleet looked at whole for each job would make all jobs late.
         self.look = max(4, int(min(budgets) / 2 / SWEEP)) if budgets else len(ready)
@@ -694,12 +661,12 @@
             if wkr not in part and not wkr.aside:
                 part.append(wkr)
         self.part = part
-        self.done = max(self.done * 0.99, self.work / self.seconds / 1e6 / max(1, len(part)))
+        self.rate, self.done = rate, max(self.done * 0.99, self.work / self.seconds / 1e6 / max(1, len(part)))
 
     def launch(self, job, wkr, now):
         launch = Launch()
         launch.job, launch.wkr, launch.n, launch.sent = job, wkr, len(job.launches), now
-        launch.load, launch.mean, launch.began, launch.told = job.load, job.mean, 0, False
+        launch.load, launch.mean, launch.began = job.load, job.mean, 0
         launch.ended, launch.may_have_run, launch.revoked = False, False, False
         end = now + int((job.mean + job.var) * self.slowness(wkr, now))
         self.dues += 1
@@ -724,14 +691,11 @@
         """A launch past its estimated end: is its worker silent or slow, and may the job go elsewhere?"""
         wkr, job = launch.wkr, launch.job
         if launch.began and launch.entry is not None and now < launch.entry[0]:
-            if launch.told:
-                self.remind(launch.entry[0], launch)
             return
         if launch.began:
-            if not launch.told:
-                ratio = (now - launch.began) / launch.mean
-                if ratio > self.slowness(wkr, now):
-                    self.learn_slow(wkr, ratio, now)
+            ratio = (now - launch.began) / launch.mean
+            if ratio > self.slowness(wkr, now):
+                self.learn_slow(wkr, ratio, now)
         elif wkr.heard < launch.sent and now - launch.sent > self.lag.mean + 4 * self.lag.var + self.run.mean:
             self.set_aside(wkr, None, launch, now)
         self.remind(now + int(max(job.var, launch.mean / 2, self.settings["step"])), launch)
@@ -755,10 +719,9 @@
         there = now + job.mean * self.slowness(best, now)
         if launch.began and not wkr.aside:
             # As long again as it has run: the best guess for a job that outran its estimate.
-            here = launch.entry[0] if launch.told and launch.entry else 2 * now - launch.began
-            if not launch.told and now - launch.began < 2 * (job.mean + job.var):
+            if now - launch.began < 2 * (job.mean + job.var):
                 return  # a hint is often this wrong, and a copy of a job that is about to end is waste
-            if there > min(here, job.target_at):
+            if there > min(2 * now - launch.began, job.target_at):
                 return
         if effect == "deduplicated" and there > launch.sent + job.qt["window"]:
             return
