--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -511,7 +511,9 @@
         """
         settings, work = self.settings, (job.hint or job.mean) * job.load
         half, room = settings["fall_for"] // 2, settings["fall_multiple"] * self.warmth(wkr, now)
-        rate = room * max(COLD * self.done, 0.7 * self.capacity / settings["dispatchers"])
+        # Under overload all look past their parts, and then at most the same again comes from there.
+        sharers = len(self.part) if wkr in self.part else len(self.ready)
+        rate = room * max(COLD * self.done / sharers, 0.7 * self.capacity / settings["dispatchers"])
         wkr.credit, wkr.asked_at = min(wkr.credit + rate * (now - wkr.asked_at), rate * half), now
         if now >= wkr.drawn_at + half:
             wkr.draw, wkr.drawn_at = self.chance(), now
@@ -661,7 +663,7 @@
             if wkr not in part and not wkr.aside:
                 part.append(wkr)
         self.part = part
-        self.rate, self.done = rate, max(self.done * 0.99, self.work / self.seconds / 1e6 / max(1, len(part)))
+        self.rate, self.done = rate, max(self.done * 0.99, self.work / self.seconds / 1e6)
 
     def launch(self, job, wkr, now):
         launch = Launch()
