A cold worker's lack of warmth is no longer learned as slowness on top

Found in a record of the release: the lists are prompt (a new worker is known 1.2 s after its start), cold workers answer no 'full' while the last warm ones answer 2,086 in five seconds.

--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -359,6 +359,8 @@
                 self.asides[why] = self.asides.get(why, 0) + 1
 
     def learn_slow(self, wkr, ratio, now):
+        # What a cold worker is assumed to lack must not be learned as its slowness as well.
+        ratio *= self.warmth(wkr, now)
         wkr.slow += GAIN * (min(ratio, 8.0 * wkr.slow) - wkr.slow)
         kin = wkr.kin
         kin.slow += GAIN * (min(ratio, 2.0 * kin.slow) - kin.slow)
