--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -9,7 +9,7 @@
 from bisect import bisect_left, insort
 from collections import deque
 from heapq import heappop, heappush
-from itertools import chain, islice
+from itertools import chain
 from zlib import crc32
 
 GAIN = 0.125  # the paper's alpha and beta
@@ -104,14 +104,12 @@
         self.best_utility = max(qt["utility"] for qt in self.queue_types) or 1.0
         self.run = Estimate(float(min(qt["target"] for qt in self.queue_types)), 0.0)
         self.waits, self.pressed_at, self.pressure = deque([(0, now)], WAITS), now, 0.0
-        self.built, self.work, self.done = 0.0, 0.0, 0.0
-        self.seconds = 1.0
+        self.built, self.work, self.done, self.seconds = 0.0, 0.0, 0.0, 1.0
         self.slack, self.value = self.run.mean, 0.5
         self.lag = Estimate(4.0 * settings["step"], 4.0 * settings["step"])
         self.keys, self.workers, self.ready, self.part, self.jobs, self.kins = {}, {}, [], [], {}, {}
         self.todo, self.stops, self.due, self.dues = deque(), deque(), [], 0
-        self.spare = 2.0
-        self.tidy_at = now
+        self.spare, self.tidy_at = 2.0, now
         self.following, self.fails, self.ask_at = settings["follow"] == "pushed", 0, None
         if not self.following:
             # Dispatchers restarted together must not ask in step.
@@ -362,8 +360,7 @@
         # What a cold worker is assumed to lack must not be learned as its slowness as well.
         ratio *= self.warmth(wkr, now)
         wkr.slow += GAIN * (min(ratio, 8.0 * wkr.slow) - wkr.slow)
-        kin = wkr.kin
-        kin.slow += GAIN * (min(ratio, 2.0 * kin.slow) - kin.slow)
+        wkr.kin.slow += GAIN * (min(ratio, 2.0 * wkr.kin.slow) - wkr.kin.slow)
 
     def warmth(self, wkr, now):
         """The least share of its capacity that a worker can have by now."""
@@ -477,9 +474,8 @@
         self.close(job)
         if not harmless:
             return ("kill", job.id)
-        if not self.settings["may_hold_off"]:
-            hold_off = 0
-        return ("reject", job.id, min(int(hold_off), self.settings["most_hold_off"]))
+        most = self.settings["most_hold_off"] if self.settings["may_hold_off"] else 0
+        return ("reject", job.id, min(int(hold_off), most))
 
     def eligible(self, wkr, job, now, group):
         kind = job.qt["kind"]
@@ -529,14 +525,13 @@
         part = () if special else self.part
         size, look = max(4, len(self.part)), self.look
         first = int(self.chance() * len(self.ready))
-        rest = islice(chain(self.ready[first:], self.ready[:first]) if special or self.beyond else (), None)
+        rest = chain(self.ready[first:], self.ready[:first]) if special or self.beyond else ()
         for seen, wkr in enumerate(chain(part, rest)):
             # Past the own part only while no worker is free, and no further than the CPU allows.
             if seen >= size and found and (least[0] <= 0 or seen >= look):
                 break
-            if wkr.aside or wkr.born or special:
-                if not self.eligible(wkr, job, now, group):
-                    continue
+            if (wkr.aside or wkr.born or special) and not self.eligible(wkr, job, now, group):
+                continue
             # CPU is scarce and this runs for each worker and job: no call where its answer is plain.
             slow = self.slowness(wkr, now) if wkr.born else wkr.slow
             extra = self.extra(wkr, now, wkr.kin.queue)
@@ -684,9 +679,9 @@
             wkr.credit -= (job.hint or job.mean) * job.load
             wkr.draw, wkr.drawn_at = self.chance(), now
         # Not started by the time that a free worker takes to start one: load that is not seen is in its way.
-        slack = job.target_at - now - job.mean * self.slowness(wkr, now)
         # A copy is work done twice, a move is not, so a copy has to wait longer.
-        part = 2 if self.settings["parallel"] else 8
+        slack = job.target_at - now - job.mean * self.slowness(wkr, now)
+        part = 2 if self.settings["parallel"] else 3
         soon = now + int(max(3 * (wkr.quick or 0) + 4 * self.settings["step"], slack / part))
         self.remind(soon if self.settings["tells_start"] else end, launch)
         return ("launch", job.id, wkr.id, 0)
