--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -234,6 +234,9 @@
         launch.may_have_run = how not in NEVER_RAN
         if launch.entry is not None:
             self.off(launch)
+        if not launch.began and how in ("full", "revoked", "timeout"):
+            # What never started waited longest, and would be missing where most of it is moved or refused.
+            self.waits.append((self.slack if how == "full" else now - launch.sent, now))
         if how not in ("timeout", "revoked", "unsent"):
             self.judge(now, launch, how)
         if final and not job.closed:
