Pressure from the mean of the last waits, each at most the slack, fading slower

Cause, read from a release second by second: with a few starts a second some waits are 2 to 4 s and the rest 0, so their median was 0 and no dispatcher turned anything away while 45% ended late.

--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -15,7 +15,7 @@
 GAIN = 0.125  # the paper's alpha and beta
 SPREAD = 1.0  # the paper's kappa
 MOVES = 0.2  # share of jobs that may be moved or copied, lest a shared trouble doubles the work
-WAITS = 9  # last starts whose median wait tells overload
+WAITS = 9  # last starts whose waits tell overload
 PRESSING = 4_000_000  # over this time a full queue becomes rejections
 FIRST_SLOTS = 8.0  # the design's start where no worker has shown its slots
 NEVER_RAN = ("full", "unreachable", "unsent")
@@ -603,13 +603,14 @@
     def press(self, now):
         """Load that is not seen shows late and only where a job went, so the last starts are asked.
 
-        Their median, as one heavy job says nothing of the fleet; summed up over time, as a short trouble
-        common to all passes, and turning jobs away for it loses more than it saves.
+        Their mean, each at most the slack: one heavy job says nothing of the fleet, but in a release some
+        starts are late by far and the rest at once. Summed up over time, as a short trouble common to all
+        passes, and turning jobs away for it loses more than it saves.
         """
         # A dispatcher of little traffic holds old waits, and the fewer it lets through the older they get.
-        waits = sorted(wait / (1 + (now - at) / self.run.mean) for wait, at in self.waits)
-        queue, since, self.pressed_at = waits[len(waits) // 2], now - self.pressed_at, now
-        above = min(queue / self.slack, 2.0) - 0.5
+        waits = [min(wait / (1 + (now - at) / (4 * self.run.mean)), self.slack) for wait, at in self.waits]
+        since, self.pressed_at = now - self.pressed_at, now
+        above = sum(waits) / len(waits) / self.slack - 0.5
         self.built = min(max(self.built + above * since / PRESSING, 0.0), 0.9)
         self.pressure = min(self.built + max(above, 0.0) / 2, 0.9)
 
--- a/tests/test_picks.py
+++ b/tests/test_picks.py
@@ -107,3 +107,12 @@
     pull(made, 0)
     made.pressure = pressure
     assert sorted(d[0] for d in pull(made, 800_000)) == then
+
+
+@pytest.mark.parametrize(("late", "presses"), [(1, False), (6, True)])
+def test_starts_that_are_far_too_late_press_though_others_start_at_once(late, presses):
+    made = balancer()
+    made.waits.extend([(0, 1_000_000)] * (9 - late) + [(9_000_000, 1_000_000)] * late)
+    made.pressed_at = 0
+    made.press(1_000_000)
+    assert (made.pressure > 0) is presses
