--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -14,7 +14,7 @@
 
 GAIN = 0.125  # the paper's alpha and beta
 SPREAD = 1.0  # the paper's kappa
-MOVES = 0.2  # share of jobs that may be moved or copied, lest a shared trouble doubles the work
+MOVES = 0.2  # share of jobs copied, or under pressure moved, lest a shared trouble doubles the work
 WAITS = 9  # last starts whose waits tell overload
 PRESSING = 4_000_000  # over this time a full queue becomes rejections
 FIRST_SLOTS = 8.0  # the design's start where no worker has shown its slots
@@ -46,11 +46,11 @@
 
 class Worker:
     __slots__ = ("id", "zone", "kind", "cell", "units", "state", "born", "out", "curve", "load", "running",
-                 "slots", "peak", "slow", "extra", "extra_at", "heard", "quick", "aside", "kin",
+                 "slots", "peak", "slow", "extra", "extra_at", "heard", "quick", "aside",
                  "credit", "draw", "drawn_at", "asked_at")
 
-    def __init__(self, wkr_id, slots, kin, now):
-        self.id, self.slots, self.out, self.kin = wkr_id, slots, {}, kin
+    def __init__(self, wkr_id, slots, now):
+        self.id, self.slots, self.out = wkr_id, slots, {}
         self.state = "ready"
         self.fresh(0, now)
 
@@ -59,21 +59,12 @@
         for launch in self.out.values():
             launch.entry = None
         self.born, self.out, self.curve, self.load, self.running, self.peak = born, {}, [], 0.0, 0.0, 1.0
-        self.slow, self.extra, self.extra_at, self.heard, self.quick = self.kin.slow, 0.0, 0, 0, None
+        self.slow, self.extra, self.extra_at, self.heard, self.quick = 1.0, 0.0, 0, 0, None
         self.aside = {}
         # No credit for the time before it was known.
         self.credit, self.draw, self.drawn_at, self.asked_at = 0.0, 1.0, now, now
 
 
-class Kin:
-    """What workers of one zone and kind share: with little traffic a dispatcher meets each too rarely."""
-
-    __slots__ = ("slow", "queue")
-
-    def __init__(self):
-        self.slow, self.queue = 1.0, 0.0
-
-
 class Aside:
     """Why a worker gets a trickle only, and how far it has come back."""
 
@@ -107,7 +98,7 @@
         self.built, self.work, self.done, self.seconds = 0.0, 0.0, 0.0, 1.0
         self.slack, self.value = self.run.mean, 0.5
         self.lag = Estimate(4.0 * settings["step"], 4.0 * settings["step"])
-        self.keys, self.workers, self.ready, self.part, self.jobs, self.kins = {}, {}, [], [], {}, {}
+        self.keys, self.workers, self.ready, self.part, self.jobs = {}, {}, [], [], {}
         self.todo, self.stops, self.due, self.dues = deque(), deque(), [], 0
         self.spare, self.tidy_at = 2.0, now
         self.following, self.fails, self.ask_at = settings["follow"] == "pushed", 0, None
@@ -144,9 +135,8 @@
             if wkr is None:
                 others = [w.slots for w in self.ready]
                 slots = sum(others) / len(others) if others else FIRST_SLOTS
-                kin = self.kins.setdefault((zone, cls), Kin())
-                wkr = self.workers[wkr_id] = Worker(wkr_id, slots, kin, now)
-                wkr.born = born
+                wkr = Worker(wkr_id, slots, now)
+                wkr.born, self.workers[wkr_id] = born, wkr
             elif born > wkr.born:
                 wkr.fresh(born, now)
             wkr.zone, wkr.kind, wkr.cell, wkr.units, wkr.state = zone, cls, cell, units, state
@@ -200,9 +190,8 @@
         # Rises slowly and starts low, or a dispatcher that starts under overload takes queues for the usual.
         wait = lag - 3 * quick - 4 * step
         self.lag.learn(lag)
-        if wkr.running > wkr.peak:
-            wkr.peak = wkr.running
-            wkr.slots = max(wkr.slots, wkr.peak)
+        wkr.peak = max(wkr.peak, wkr.running)
+        wkr.slots = max(wkr.slots, wkr.peak)
         job = launch.job
         if job.out > 1 and self.settings["may_revoke"]:
             self.stops.extend(other for other in job.launches if not other.began and not other.ended)
@@ -211,10 +200,8 @@
             # What made it wait is load that this dispatcher cannot see.
             wkr.slots += GAIN * (max(wkr.peak, wkr.running) - wkr.slots)
             extra = max(0.0, wkr.slots - wkr.running) + wait * wkr.slots / self.run.mean / 2
-            wkr.kin.queue += GAIN * (extra - wkr.kin.queue)
         else:
             extra = min(self.extra(wkr, now), max(0.0, wkr.slots - wkr.running))
-            wkr.kin.queue -= GAIN * wkr.kin.queue
         wkr.extra, wkr.extra_at = extra, now
         end = now + int((launch.mean + job.var) * self.slowness(wkr, now))
         self.move(launch, end)
@@ -363,7 +350,6 @@
         # What a cold worker is assumed to lack must not be learned as its slowness as well.
         ratio *= self.warmth(wkr, now)
         wkr.slow += GAIN * (min(ratio, 8.0 * wkr.slow) - wkr.slow)
-        wkr.kin.slow += GAIN * (min(ratio, 2.0 * wkr.kin.slow) - wkr.kin.slow)
 
     def warmth(self, wkr, now):
         """The least share of its capacity that a worker can have by now."""
@@ -376,9 +362,9 @@
     def slowness(self, wkr, now):
         return wkr.slow / self.warmth(wkr, now) if wkr.born else wkr.slow
 
-    def extra(self, wkr, now, usual=0.0):
-        """Load of others, as last seen, fading to the usual; never less than what keeps own jobs waiting."""
-        extra = usual + (wkr.extra - usual) / (1 + (now - wkr.extra_at) / self.run.mean)
+    def extra(self, wkr, now):
+        """Load of others, as last seen, fading; never less than what keeps own jobs waiting."""
+        extra = wkr.extra / (1 + (now - wkr.extra_at) / self.run.mean) if wkr.extra else 0.0
         if wkr.running < wkr.load:
             for launch in wkr.out.values():
                 if not launch.began:
@@ -401,10 +387,8 @@
         due = self.due
         while due and self.stale(due[0][2]):
             heappop(due)
-        when = due[0][0] if due else None
-        if self.ask_at is not None and (when is None or self.ask_at < when):
-            when = self.ask_at
-        return when
+        when = [due[0][0]] if due else []
+        return min(when if self.ask_at is None else [*when, self.ask_at], default=None)
 
     @staticmethod
     def stale(what):
@@ -537,7 +521,7 @@
                 continue
             # CPU is scarce and this runs for each worker and job: no call where its answer is plain.
             slow = self.slowness(wkr, now) if wkr.born else wkr.slow
-            extra = self.extra(wkr, now, wkr.kin.queue)
+            extra = self.extra(wkr, now) if wkr.extra or wkr.running < wkr.load else 0.0
             span = int((mean + var) * slow)
             if wkr.curve or extra:
                 rank = self.contention(wkr, now, span, load, var, extra)
@@ -552,7 +536,7 @@
         over, area = least[0], least[1] + load * var
         near = [wkr for rank, wkr in found if rank[0] == over and rank[1] <= area]
         if self.settings["price_crossing"]:
-            # Usual queues are in the areas, so a crowded zone is no tie; a tie need not cross for nothing.
+            # Late starts count in the areas, so a crowded zone is no tie for those who have met it.
             near = [wkr for wkr in near if wkr.zone == self.settings["zone"]] or near
         best = self.one_of(near)
         if self.beyond and not special and best not in part:
@@ -634,11 +618,9 @@
         fade = min(1.0, 1_000_000 / (16 * self.run.mean + 1))
         if self.ready:
             mean = sum(wkr.slow for wkr in self.ready) / len(self.ready)
-            for kin in self.kins.values():
-                kin.slow /= mean
             for wkr in self.ready:
                 wkr.slow /= mean
-                wkr.slow += fade * (wkr.kin.slow - wkr.slow)
+                wkr.slow += fade * (1.0 - wkr.slow)
 
     def survey(self):
         """Figures over the whole fleet, once a second: taken for each job they cost more than deciding."""
--- a/tests/test_picks.py
+++ b/tests/test_picks.py
@@ -1,7 +1,7 @@
 """What the design and its departures pick."""
 
 import pytest
-from helpers import STEP, arrive, balancer, pull, queue_type
+from helpers import STEP, arrive, balancer, entry, pull, queue_type
 
 
 def run(made, job, now, took, how="completed", start=None):
@@ -116,3 +116,68 @@
     made.pressed_at = 0
     made.press(1_000_000)
     assert (made.pressure > 0) is presses
+
+
+@pytest.mark.parametrize(("workers", "used"), [(4, 4), (60, 6)])
+def test_a_dispatcher_of_little_traffic_keeps_to_a_part_of_the_fleet(workers, used):
+    made = balancer(workers=workers)
+    seen = {run(made, job, job * 1_000_000, 100_000).id for job in range(40)}
+    assert len(seen) == used
+
+
+def test_past_its_part_it_looks_while_no_worker_there_is_free():
+    made = balancer(workers=60)
+    for wkr in made.part:
+        wkr.extra, wkr.extra_at = 40.0, 0
+    before = list(made.part)
+    assert run(made, 1, 0, 100_000) not in before
+    assert made.part != before
+
+
+@pytest.mark.parametrize(("parallel", "most"), [(True, 1.5), (False, 3.5)])
+def test_moves_and_copies_are_saved_for_a_second_only(parallel, most):
+    made = balancer(parallel=parallel)
+    made.rate = 2.0
+    for job in range(100):
+        arrive(made, 0, job)
+    assert made.spare <= most
+
+
+def test_a_worker_avoided_for_its_slowness_comes_back():
+    made = balancer(workers=8)
+    arrive(made)
+    for _ in range(50):
+        made.learn_slow(made.ready[0], 3.0, 0)
+    made.tidy(1_000_000)
+    was = made.ready[0].slow
+    for second in range(2, 30):
+        made.tidy(second * 1_000_000)
+    assert was > 1.5 > 1.1 > made.ready[0].slow
+
+
+def test_a_cold_workers_lack_is_not_learned_as_slowness_as_well():
+    made = balancer(workers=1)
+    made.members(0, "changes", [entry(0, born=1)])
+    for _ in range(50):
+        made.learn_slow(made.ready[0], 5.0, 1)
+    assert made.slowness(made.ready[0], 1) == pytest.approx(5.0, rel=0.05)
+
+
+@pytest.mark.parametrize("how", ["full", "revoked", "completed"])
+def test_what_never_started_counts_as_a_wait(how):
+    made = balancer(workers=1)
+    arrive(made)
+    pull(made, 0)
+    made.ended(900_000, 1, 0, how, 900_000, how == "completed", [])
+    assert (made.waits[-1][0] > 0) is (how != "completed")
+
+
+def test_old_waits_press_less():
+    made = balancer()
+    made.waits.extend([(400_000, 0)] * 9)
+    made.slack, made.pressed_at = 400_000.0, 0
+    made.press(1)
+    now = made.pressure
+    made.built, made.pressed_at = 0.0, 60_000_000 - 1
+    made.press(60_000_000)
+    assert now > 0 == made.pressure
