--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -21,7 +21,7 @@
 NEVER_RAN = ("full", "unreachable", "unsent")
 CUT_OFF = -1  # why a worker that takes no connection is set aside; None: lost or silent; else a queue type
 KEYS_KEPT = 4096
-COLD = 0.8  # of a cold worker's budget, where all that is completed is all that can be
+COLD = 1.0  # of a cold worker's budget, where all that is completed is all that can be
 PART = 6  # workers that a dispatcher of little traffic keeps to
 LONGEST_PAUSE = 4_000_000  # between two trials of a worker that was set aside
 SWEEP = 0.2  # microseconds, in the settings' measure, that looking at one worker takes
@@ -496,8 +496,8 @@
         """
         settings, work = self.settings, (job.hint or job.mean) * job.load
         half, room = settings["fall_for"] // 2, settings["fall_multiple"] * self.warmth(wkr, now)
-        # Under overload all look past their parts, and then at most the same again comes from there.
-        sharers = len(self.part) if wkr in self.part else len(self.ready)
+        # Under overload all look past their parts, and then at most half as much again comes from there.
+        sharers = len(self.part) if self.beyond and wkr in self.part else 2 * len(self.ready)
         rate = room * max(COLD * self.done / sharers, 0.7 * self.capacity / settings["dispatchers"])
         wkr.credit, wkr.asked_at = min(wkr.credit + rate * (now - wkr.asked_at), rate * half), now
         if now >= wkr.drawn_at + half:
