--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -634,7 +634,7 @@
         self.look = max(4, int(min(budgets) / 2 / SWEEP)) if budgets else len(ready)
         # A dispatcher keeps to as many workers as it can know: beyond, what it learned of one is old before
         # it comes again, and each job costs a connection. Parts differ, so all workers are in some.
-        size = max(PART, int(rate * settings["conn_idle"] / 2e6))
+        size = max(PART, min(int(rate * settings["conn_idle"] / 2e6), self.look))
         self.beyond, size = size < len(ready), min(size, len(ready))
         part = ready
         if self.beyond:
@@ -683,7 +683,9 @@
                 self.learn_slow(wkr, ratio, now)
         elif wkr.heard < launch.sent and now - launch.sent > self.lag.mean + 4 * self.lag.var + self.run.mean:
             self.set_aside(wkr, None, launch, now)
-        self.remind(now + int(max(job.var, launch.mean / 2, self.settings["step"])), launch)
+        # Ever rarer: on an overloaded fleet looking again and again at all that waits makes all late.
+        again = max(job.var, launch.mean / 2, (now - launch.sent) / 2, self.settings["step"])
+        self.remind(now + int(again), launch)
         effect, parallel = job.qt["effect"], self.settings["parallel"]
         waits = effect == "restartable" and not (parallel or launch.began) and self.settings["may_revoke"]
         late = now + job.mean * self.slowness(wkr, now) > job.target_at
--- a/tests/test_picks.py
+++ b/tests/test_picks.py
@@ -181,3 +181,23 @@
     made.built, made.pressed_at = 0.0, 60_000_000 - 1
     made.press(60_000_000)
     assert now > 0 == made.pressure
+
+
+def test_a_part_is_no_larger_than_the_cpu_allows():
+    made = balancer(workers=60, cpu_a_job=10.0)
+    for job in range(400):
+        arrive(made, 0, job)
+    made.survey()
+    assert len(made.part) == made.look < 60
+
+
+def test_what_waits_is_looked_at_ever_more_rarely():
+    made = balancer(workers=1)
+    arrive(made)
+    pull(made, 0)
+    made.due.clear()
+    for now in range(0, 4_000_000, STEP):
+        pull(made, now)
+        if now == 0:
+            made.check(made.jobs[1].launches[0], now)
+    assert made.dues < 20
