--- a/mastledge/adapter/__main__.py
+++ b/mastledge/adapter/__main__.py
@@ -4,8 +4,8 @@
 import traceback
 
 from mastledge.adapter import frames as wire
-from mastledge.adapter.settings import BadSetting, plain_map
 from mastledge.balance import Balancer
+from mastledge.program.settings import BadSetting, pairs_of, plain_map
 
 STATE = {0: "gone", 1: "ready", 2: "draining"}
 LIST = {0: "changes", 1: "whole", 2: "cached", 3: "failed"}
@@ -42,7 +42,7 @@
         instance, seed, offset, size = fields
         raw = bytes(wire.tail_part(body, count, at, offset, size, "settings"))
         try:
-            settings = plain_map(raw.decode())
+            settings = plain_map(pairs_of(raw.decode()))
         except UnicodeDecodeError as error:
             raise BadSetting(f"settings are not text: {error}") from None
         self.timers[instance] = None
--- /dev/null
+++ b/mastledge/program/__init__.py
@@ -0,0 +1,1 @@
+"""The program round the dispatcher: command line, configuration, logs, phases."""
--- /dev/null
+++ b/mastledge/program/command.py
@@ -0,0 +1,68 @@
+"""The command line."""
+
+import argparse
+import os
+import sys
+
+import orjson
+
+from mastledge import __version__
+from mastledge.program.configuration import BadConfiguration, configuration
+from mastledge.program.logs import Log
+from mastledge.program.phases import Program
+
+
+def serve(args):
+    told = configuration(args.config, os.environ)
+    return Program(told, Log(sys.stderr.fileno(), told["name"], args.log)).run()
+
+
+def check(args):
+    told = configuration(args.config, os.environ)
+    print(f"{args.config}: good; {len(told['settings']['queue_types'])} queue types, listens on "
+          f"{told['listen'][0]}:{told['listen'][1]}")
+    return 0
+
+
+def settings(args):
+    told = configuration(args.config, os.environ)
+    print(orjson.dumps(told["settings"], option=orjson.OPT_INDENT_2).decode())
+    return 0
+
+
+def version(args):
+    print(f"mastledge {__version__}")
+    return 0
+
+
+def parser():
+    top = argparse.ArgumentParser(prog="mastledge", description="A dispatcher that pushes jobs to workers.")
+    commands = top.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    for call, about in ((serve, "run one dispatcher until SIGTERM"),
+                        (check, "read the configuration and say whether it is good"),
+                        (settings, "show the settings as the decisions are handed them"),
+                        (version, "show the version")):
+        command = commands.add_parser(call.__name__, help=about, description=about)
+        command.set_defaults(call=call)
+        if call is not version:
+            command.add_argument("--config", default=os.environ.get("GW_CONFIG"), metavar="FILE",
+                                 help="configuration file (default: $GW_CONFIG)")
+        if call is serve:
+            command.add_argument("--log", choices=("info", "brief"), default="info",
+                                 help="brief leaves out the lines of single jobs and launches")
+    return top
+
+
+def main():
+    args = parser().parse_args()
+    if getattr(args, "config", "") is None:
+        print("mastledge: no configuration: give --config or set GW_CONFIG", file=sys.stderr)
+        return 2
+    try:
+        return args.call(args)
+    except BadConfiguration as error:
+        print(f"mastledge: {error}", file=sys.stderr)
+        return 2
+    except OSError as error:
+        print(f"mastledge: cannot serve: {error}", file=sys.stderr)
+        return 1
--- /dev/null
+++ b/mastledge/program/configuration.py
@@ -0,0 +1,46 @@
+"""What one dispatcher is told: environment and configuration file."""
+
+import orjson
+
+from mastledge.program.settings import BadSetting, flat, plain_map
+from mastledge.transport.connection import address_of
+
+
+class BadConfiguration(ValueError):
+    """One plain message for whoever starts the program."""
+
+
+def part(told, name, kind, absent=None):
+    value = told.get(name, absent)
+    if value is None:
+        raise BadConfiguration(f"{name} is missing")
+    if not isinstance(value, kind):
+        raise BadConfiguration(f"{name} cannot be read: {value!r}")
+    return value
+
+
+def configuration(path, env):
+    """A plain map of all that the program is told; the environment stands in for what the file leaves out."""
+    try:
+        with open(path, "rb") as file:
+            told = orjson.loads(file.read())
+    except OSError as error:
+        raise BadConfiguration(f"{path}: {error.strerror}") from None
+    except orjson.JSONDecodeError as error:
+        raise BadConfiguration(f"{path} is no JSON: {error}") from None
+    if not isinstance(told, dict):
+        raise BadConfiguration(f"{path} holds no object")
+    try:
+        out = {"name": part(told, "name", str, env.get("GW_NAME", "dispatcher"))}
+        for name, variable in (("listen", "GW_LISTEN"), ("discovery", "GW_DISCOVERY")):
+            out[name] = address_of(part(told, name, str, env.get(variable)))
+        out["seed"] = int(part(told, "seed", str), 16)
+        limits = part(told, "limits", dict, {})
+        out["sockets"] = int(part(limits, "sockets", int, 1024))
+        out["known"] = part(told, "known", dict, {})
+        out["settings"] = plain_map(flat(part(told, "settings", dict)))
+    except (BadSetting, BadConfiguration) as error:
+        raise BadConfiguration(f"{path}: {error}") from None
+    except ValueError as error:
+        raise BadConfiguration(f"{path}: {error}") from None
+    return out
--- /dev/null
+++ b/mastledge/program/phases.py
@@ -0,0 +1,116 @@
+"""The dispatcher from start to exit: one object, and the phases it goes through."""
+
+import os
+import signal
+import time
+
+from mastledge.balance import Balancer
+from mastledge.protocol.clients import Door
+from mastledge.protocol.discovery import BadList, Discovery
+from mastledge.protocol.workers import Workers
+from mastledge.routing.router import Router
+from mastledge.transport.budget import Budget
+from mastledge.transport.connection import listen
+from mastledge.transport.loop import READ, Loop, Queue
+
+STARTING, WAITING, SERVING, LEAVING, FINISHING, ENDED = (
+    "starting", "waiting for workers", "serving", "leaving", "finishing", "ended")
+NEXT = {STARTING: (WAITING,), WAITING: (SERVING, LEAVING), SERVING: (LEAVING,), LEAVING: (FINISHING,),
+        FINISHING: (ENDED,), ENDED: ()}
+ACCEPTING = 500_000  # after the signal: new connections go on coming for 0.4 s
+LONGEST = 3_000_000  # of the walltime that the end waits for
+LAST = 500_000  # and this much more, inside the 0.7 s after which the program is ended from outside
+LOOK = 20_000
+
+
+class Program:
+    def __init__(self, told, log):
+        self.told, self.log, self.phase = told, log, STARTING
+        self.loop = loop = Loop(self.fault)
+        settings = told["settings"]
+        self.budget = Budget(told["sockets"])
+        self.inbox = inbox = Queue(loop)
+        words = {"queue_types": [dict(qt) for qt in settings["queue_types"]],
+                 "tenants": [tenant["name"] for tenant in settings["tenants"]],
+                 "zones": settings["zones"], "kinds": settings["kinds"],
+                 "most_held": settings["most_held"], "unix_now": time.time_ns() // 1000}
+        self.walltime = max(qt["walltime"] for qt in settings["queue_types"])
+        self.discovery = Discovery(loop, self.budget, inbox, told["discovery"], words, log)
+        self.workers = Workers(loop, self.budget, inbox, settings, log)
+        self.door = Door(loop, self.budget, inbox, words, log)
+        balancer = Balancer(settings, told["seed"], loop.now())
+        self.router = Router(loop, inbox, balancer, self.workers, self.discovery, log)
+        self.following = settings["follow"] == "pushed"
+        self.signalled = False
+
+    def fault(self, error):
+        self.log("fault", why=f"{type(error).__name__}: {error}")
+
+    def go(self, phase):
+        if phase not in NEXT[self.phase]:
+            raise RuntimeError(f"no way from {self.phase} to {phase}")
+        self.phase = phase
+        self.log("phase", phase=phase, jobs=len(self.router.jobs), clients=len(self.door.clients))
+
+    def run(self):
+        pipe = os.pipe()
+        for fd in pipe:
+            os.set_blocking(fd, False)
+        signal.set_wakeup_fd(pipe[1], warn_on_full_buffer=False)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self.signal)
+        self.sock = listen(self.told["listen"])
+        self.loop.spawn(self.signals(pipe[0]))
+        self.inbox.reader = self.loop.spawn(self.router.run())
+        self.life = self.loop.spawn(self.phases())
+        self.loop.run()
+        return 0
+
+    def signal(self, number, frame):
+        self.signalled = True
+
+    def signals(self, fd):
+        while True:
+            yield (fd, READ, None)
+            os.read(fd, 64)
+            self.loop.wake(self.life)
+
+    def phases(self):
+        loop, door, router = self.loop, self.door, self.router
+        try:
+            self.discovery.apply(self.told["known"], "cached")
+        except BadList as error:
+            # Discovery has the list as well.
+            self.log("known_unusable", why=str(error))
+        if self.following or self.discovery.generation is None:
+            self.discovery.follow()
+        listening = loop.spawn(door.listen(self.sock))
+        self.go(WAITING)
+        while not self.signalled and not any(p.state == "ready" for p in router.peers.values()):
+            yield (-1, 0, loop.now() + LOOK)
+        if not self.signalled:
+            door.ready = True
+            self.go(SERVING)
+        while not self.signalled:
+            yield (-1, 0, None)
+        told_at = loop.now()
+        door.leaving = True
+        self.go(LEAVING)
+        while loop.now() < told_at + ACCEPTING:
+            yield (-1, 0, told_at + ACCEPTING)
+        loop.cancel(listening)
+        door.last_call(self.sock)
+        loop.forget(self.sock.fileno())
+        self.sock.close()
+        self.go(FINISHING)
+        last = told_at + min(self.walltime, LONGEST) + LAST
+        while door.clients and loop.now() < last:
+            door.close_all_idle()
+            yield (-1, 0, loop.now() + LOOK)
+        router.give_up_all()
+        while door.clients and loop.now() < last + LAST // 5:
+            door.close_all_idle()
+            yield (-1, 0, loop.now() + LOOK // 4)
+        self.go(ENDED)
+        self.log("totals", faults=router.faults, **router.totals)
+        loop.running = False
--- a/mastledge/adapter/settings.py
+++ b/mastledge/program/settings.py
@@ -1,4 +1,7 @@
-"""From the wire's start-up pairs to the plain map of settings that the decisions are handed."""
+"""From the settings that an instance is given to the plain map that the decisions are handed.
+
+They come nested, as JSON, or as pairs of path and text; either way each is looked up by its path.
+"""
 
 
 class BadSetting(ValueError):
@@ -10,13 +13,13 @@
 
 
 def flag(text):
-    if text not in ("true", "false"):
+    if text not in ("true", "false", True, False):
         raise ValueError(text)
-    return text == "true"
+    return text in ("true", True)
 
 
 def words(text):
-    return [word for word in text.split(",") if word]
+    return [word for word in text.split(",") if word] if isinstance(text, str) else list(text)
 
 
 def numbers(text):
@@ -29,6 +32,8 @@
 PLAIN = {
     "dispatchers": ("balancers", int, REQUIRED),
     "me": ("me", int, REQUIRED),
+    "zones": ("zones", words, ()),
+    "kinds": ("kinds", words, ()),
     "zone": ("locality", int, 0),
     "step": ("stepMs", us, REQUIRED),
     "follow": ("discovery", str, REQUIRED),
@@ -43,6 +48,7 @@
     "most_hold_off": ("limits.maxRetryAfterMs", us, 0),
     "parallel": ("limits.parallelTries", flag, False),
     "launches": ("limits.maxLaunches", int, REQUIRED),
+    "most_held": ("limits.mostHeld", int, 20_000),
     "conn_idle": ("limits.connIdleMs", us, 5_000_000),
     "connect_timeout": ("limits.connectTimeoutMs", us, 250_000),
     "cpu_a_second": ("limits.cpuUsPerS", float, 0.0),
@@ -62,6 +68,7 @@
     "price_late": ("prices.lateFail", float, 0.0),
 }
 QUEUE_TYPE = {
+    "name": ("name", str, ""),
     "target": ("targetTurnaroundMs", us, REQUIRED),
     "walltime": ("walltimeMs", us, REQUIRED),
     "effect": ("idempotency", str, REQUIRED),
@@ -71,7 +78,7 @@
     "late_utility": ("overdueUtility", float, 0.0),
     "aim_stretch": ("aimStretch", float, 0.0),
 }
-TENANT = {"portion": ("portion", float, 0.0), "quota": ("quotaPerS", float, 0.0)}
+TENANT = {"name": ("name", str, ""), "portion": ("portion", float, 0.0), "quota": ("quotaPerS", float, 0.0)}
 EFFECT = {"pure": "restartable", "token": "deduplicated", "side_effect": "run-once"}
 REPORT = {"outstanding": "outstanding", "backlog": "backlog", "utilization": "busy", "x0": "free_slots",
           "x1": "free_memory"}
@@ -85,7 +92,7 @@
         return absent
     try:
         return kind(text)
-    except ValueError:
+    except (TypeError, ValueError):
         raise BadSetting(f"setting {path} cannot be read: {text!r}") from None
 
 
@@ -96,8 +103,27 @@
     ]
 
 
-def plain_map(text):
-    pairs = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
+def flat(nested, path=""):
+    """Paths and values of nested JSON, as the pairs have them: a list of objects by count and place."""
+    pairs = {}
+    for name, value in nested.items():
+        here = f"{path}{name}"
+        if isinstance(value, dict):
+            pairs.update(flat(value, here + "."))
+        elif isinstance(value, list) and (not value or all(isinstance(item, dict) for item in value)):
+            pairs[here], pairs[here + ".count"] = [], len(value)
+            for n, item in enumerate(value):
+                pairs.update(flat(item, f"{here}.{n}."))
+        else:
+            pairs[here] = value
+    return pairs
+
+
+def pairs_of(text):
+    return dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
+
+
+def plain_map(pairs):
     settings = {ours: read(pairs, *how) for ours, how in PLAIN.items()}
     settings["follow"] = {"pushed": "pushed", "on_request": "asked"}.get(settings["follow"])
     if settings["follow"] is None:
--- /dev/null
+++ b/mastledge/protocol/clients.py
@@ -0,0 +1,252 @@
+"""Clients: takes their jobs, holds the connection until the answer, notices when they leave."""
+
+import h11
+import orjson
+
+from mastledge.protocol import http
+from mastledge.transport.connection import Connection, TimedOut, accept
+from mastledge.transport.loop import GONE, READ
+
+SLOW = 30_000_000  # a request that has begun must be whole by then
+IDLE = 120_000_000
+LINGER = 1_000_000  # what is still under way is read, or closing would reset the answer to it
+COMPLETED, REJECTED, KILLED = 200, 503, 500
+
+
+class Refused(Exception):
+    """The request is answered here, with this status."""
+
+    def __init__(self, status, why):
+        self.status, self.why = status, why
+
+
+class Exchange:
+    """One job's request, to be passed on as it came, and the way back to its client."""
+
+    __slots__ = ("door", "task", "name", "method", "target", "headers", "body", "until", "open", "job")
+
+    def __init__(self, door):
+        self.door, self.open, self.job = door, True, None
+
+    def completed(self, result):
+        self.finish(COMPLETED, [(b"content-type", b"application/octet-stream")], result)
+
+    def rejected(self, hold_off):
+        self.finish(REJECTED, [(b"retry-after", b"%.3f" % (hold_off / 1e6))] if hold_off else [], b"")
+
+    def killed(self):
+        self.finish(KILLED, [], b"")
+
+    def finish(self, status, headers, content):
+        if self.open:
+            self.open = False
+            self.door.loop.wake(self.task, (status, headers, content))
+
+
+def number(text, least=0.0):
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not least <= value < 1e12:
+        raise Refused(400, f"no number: {text[:40]!r}")
+    return value
+
+
+class Door:
+    """Everything between the listening socket and the queue of the decisions."""
+
+    def __init__(self, loop, budget, inbox, words, log):
+        self.loop, self.budget, self.inbox, self.words, self.log = loop, budget, inbox, words, log
+        self.types = {qt["name"].encode(): n for n, qt in enumerate(words["queue_types"])}
+        self.tenants = {name.encode(): n for n, name in enumerate(words["tenants"])}
+        self.clients, self.ready, self.leaving, self.in_hand = set(), False, False, 0
+
+    def listen(self, sock):
+        while True:
+            yield (sock.fileno(), READ, None)
+            fresh, short = accept(sock, self.budget)
+            for one in fresh:
+                self.welcome(one)
+            if short:
+                self.log("out_of_descriptors", clients=len(self.clients))
+                yield (-1, 0, self.loop.now() + 20_000)
+
+    def welcome(self, sock):
+        # Its request may count as taken already, so beyond the budget it still gets a proper rejection.
+        beyond = not self.budget.take("clients")
+        if beyond:
+            self.budget.used["clients"] += 1
+        conn = http.attach(Connection(self.loop, sock, self.budget, "clients"), h11.SERVER)
+        conn.owner = self
+        task = self.loop.spawn(self.serve(conn, beyond))
+        self.clients.add((conn, task))
+
+    def close_idle(self, conn, task):
+        """Closes it unless a request is under way, which a client would have to send again."""
+        if not conn.quiet():
+            return False
+        self.loop.cancel(task)
+        return True
+
+    def last_call(self, sock):
+        """What the machine has accepted before the listening socket closes is a client like all others."""
+        for one in accept(sock, self.budget)[0]:
+            self.welcome(one)
+
+    def close_all_idle(self):
+        for close in list(self.budget.idle["clients"].values()):
+            close()
+
+    def serve(self, conn, beyond):
+        loop = self.loop
+        # The task is known once it first runs: welcome() has noted it by then.
+        task = next(task for known, task in self.clients if known is conn)
+        try:
+            while True:
+                self.budget.rest("clients", conn, lambda: self.close_idle(conn, task))
+                if conn.http.trailing_data == (b"", False):
+                    if not (yield (conn.fd, READ, loop.now() + IDLE)):
+                        if conn.quiet():
+                            return
+                self.budget.busy("clients", conn)
+                try:
+                    reply = yield from self.one(conn, task, beyond)
+                except Refused as refused:
+                    self.log("bad_request", status=refused.status, why=refused.why)
+                    reply = refused.status, [], refused.why.encode()
+                    beyond = beyond or refused.status in (400, 408, 413)
+                except http.TooLarge:
+                    self.log("bad_request", status=413, why="body too large")
+                    reply, beyond = (413, [], b"body too large"), True
+                except h11.RemoteProtocolError as error:
+                    if conn.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+                        return
+                    status = 413 if error.error_status_hint == 431 else 400
+                    self.log("bad_request", status=status, why=str(error))
+                    reply, beyond = (status, [], str(error).encode()), True
+                if reply is None:
+                    return
+                status, headers, content = reply
+                last = beyond or self.leaving
+                yield from conn.send(http.answer(conn, status, headers, content, last), loop.now() + SLOW)
+                if last or not http.again(conn):
+                    yield from self.linger(conn)
+                    return
+        except (OSError, TimedOut):
+            return
+        finally:
+            self.budget.busy("clients", conn)
+            self.clients.discard((conn, task))
+            conn.close()
+
+    def linger(self, conn):
+        conn.end_sending()
+        until, left = self.loop.now() + LINGER, 16 * http.MOST_BODY
+        while left > 0:
+            part = yield from conn.receive(until)
+            if not part:
+                return
+            left -= len(part)
+
+    def one(self, conn, task, beyond):
+        """One request: its answer, or None where the client has gone."""
+        until = self.loop.now() + SLOW
+        try:
+            head = yield from http.event(conn, until)
+            if isinstance(head, h11.ConnectionClosed):
+                return None
+            for name, value in head.headers:
+                if name == b"content-length" and int(value) > http.MOST_BODY:
+                    raise http.TooLarge
+            content = yield from http.body(conn, until)
+        except TimedOut:
+            raise Refused(408, "request not complete in time") from None
+        if head.method == b"HEAD":
+            raise Refused(405, "")
+        path = head.target.partition(b"?")[0]
+        if path == b"/health/ready":
+            up = self.ready and not self.leaving
+            return (200 if up else 503), [], b"ready" if up else b"not ready"
+        if path == b"/health/live":
+            return 200, [], b"live"
+        queue_type = self.types.get(path[1:].partition(b"/")[0])
+        if queue_type is None:
+            raise Refused(404, "no such path")
+        if head.method != b"POST":
+            raise Refused(405, "jobs come by POST")
+        exchange = self.exchange(task, head, content)
+        arrived = self.arrived(exchange, head, queue_type)
+        if beyond or self.in_hand >= self.words["most_held"]:
+            # Nothing of it was sent anywhere, so trying again is harmless.
+            return REJECTED, [], b""
+        self.in_hand += 1
+        try:
+            self.inbox.put(*arrived)
+            return (yield from self.outcome(conn, exchange))
+        finally:
+            self.in_hand -= 1
+            if exchange.open:
+                exchange.open = False
+                self.inbox.put("abandoned", exchange)
+
+    def outcome(self, conn, exchange):
+        got = yield (conn.fd, GONE, exchange.until)
+        if isinstance(got, tuple):
+            return got
+        if got:
+            return None
+        # The decisions end each job before this; should they fail at it, the client still gets its answer.
+        self.log("late", job=exchange.job)
+        return KILLED, [], b""
+
+    def exchange(self, task, head, content):
+        exchange = Exchange(self)
+        exchange.task, exchange.method, exchange.target = task, head.method, head.target
+        exchange.body = content
+        exchange.headers = [(name, value) for name, value in head.headers
+                            if name not in http.DROPPED and name != b"x-remaining-ms"]
+        return exchange
+
+    def arrived(self, exchange, head, queue_type):
+        """The call that this request becomes: the job and all that is told of it."""
+        fields = dict(head.headers)
+        if b"x-txn" not in fields:
+            raise Refused(400, "X-Txn is missing")
+        if self.types.get(fields.get(b"x-lane", b""), queue_type) != queue_type:
+            raise Refused(400, "X-Lane and path differ")
+        qt = self.words["queue_types"][queue_type]
+        if qt["effect"] == "deduplicated" and b"idempotency-key" not in fields:
+            raise Refused(400, "Idempotency-Key is missing")
+        extras = {}
+        for pair in fields.get(b"x-labels", b"").split(b","):
+            name, _, value = pair.strip().partition(b"=")
+            if name:
+                extras[name] = value
+        now = self.loop.now()
+        patience = fields.get(b"x-remaining-ms")
+        patience = qt["walltime"] if patience is None else round(number(patience) * 1000)
+        exchange.until, exchange.name = now + patience, fields[b"x-txn"].decode("latin-1")
+        tenant = self.tenants.get(fields.get(b"x-org", b""), 0)
+        width = number(extras.get(b"width", extras.get(b"slots", b"1"))) or 1.0
+        memory = number(extras.get(b"ramUnits", extras.get(b"memory", b"0")))
+        hint = round(number(fields.get(b"x-estimate", b"0")))
+        key = key_of(fields.get(b"cookie", b""))
+        return "arrived", exchange, queue_type, hint, key, width, memory, tenant, patience
+
+
+def key_of(cookie):
+    """What the job is about: any text will do, 0 for none."""
+    for pair in cookie.split(b";"):
+        name, _, value = pair.strip().partition(b"=")
+        if name == b"user":
+            return value
+    return 0
+
+
+def loads(raw):
+    """One JSON object; ValueError for anything else."""
+    got = orjson.loads(raw)
+    if not isinstance(got, dict):
+        raise ValueError(f"no object: {raw[:80]!r}")
+    return got
--- /dev/null
+++ b/mastledge/protocol/http.py
@@ -0,0 +1,86 @@
+"""h11 on a connection: events in, bytes out."""
+
+import h11
+
+MOST_BODY = 64 * 1024
+MOST_HEAD = 32 * 1024
+# What speaks of one connection only, or is said anew on the next one.
+DROPPED = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
+           b"upgrade", b"content-length", b"host", b"expect"}
+
+
+class TooLarge(Exception):
+    """A body beyond what the protocol allows."""
+
+
+def attach(conn, role):
+    conn.http = h11.Connection(role, max_incomplete_event_size=MOST_HEAD)
+    return conn
+
+
+def event(conn, until):
+    """The next event of h11, waiting for bytes as needed."""
+    http = conn.http
+    while True:
+        got = http.next_event()
+        if got is not h11.NEED_DATA:
+            return got
+        if http.they_are_waiting_for_100_continue:
+            yield from conn.send(http.send(h11.InformationalResponse(status_code=100, headers=[])), until)
+        http.receive_data((yield from conn.receive(until)))
+
+
+def body(conn, until):
+    """A whole body, in the connection's buffer until it is complete."""
+    conn.buffer.clear()
+    while True:
+        got = yield from event(conn, until)
+        if isinstance(got, h11.EndOfMessage):
+            return conn.buffer.take()
+        if isinstance(got, h11.Data):
+            conn.buffer.keep(got.data)
+            if len(conn.buffer) > MOST_BODY:
+                raise TooLarge
+        else:
+            raise h11.RemoteProtocolError(f"{type(got).__name__} inside a body")
+
+
+def lines(conn, until):
+    """The next line of a chunked answer, or None where the answer has ended. `until` bounds the silence."""
+    while True:
+        line = conn.buffer.line()
+        if line is not None:
+            return line
+        if len(conn.buffer) > 64 * MOST_BODY:
+            raise TooLarge
+        got = yield from event(conn, until)
+        if isinstance(got, h11.Data):
+            conn.buffer.keep(got.data)
+        else:
+            return conn.buffer.take() or None
+
+
+def request(conn, method, target, headers, content=b""):
+    """The bytes of a whole request."""
+    send = conn.http.send
+    head = send(h11.Request(method=method, target=target, headers=headers))
+    return head + (send(h11.Data(data=content)) if content else b"") + send(h11.EndOfMessage())
+
+
+def answer(conn, status, headers, content, last):
+    """The bytes of a whole answer; `last` tells the other side that the connection ends with it."""
+    headers = [*headers, (b"content-length", b"%d" % len(content))]
+    if last:
+        headers.append((b"connection", b"close"))
+    send = conn.http.send
+    head = send(h11.Response(status_code=status, headers=headers))
+    return head + (send(h11.Data(data=content)) if content else b"") + send(h11.EndOfMessage())
+
+
+def again(conn):
+    """Whether the connection can carry another request, and made ready for it."""
+    http = conn.http
+    if http.our_state is h11.DONE and http.their_state is h11.DONE and not http.trailing_data[0]:
+        http.start_next_cycle()
+        return True
+    return False
--- /dev/null
+++ b/mastledge/protocol/workers.py
@@ -0,0 +1,212 @@
+"""Workers: connections to them, and what becomes of a launch on one."""
+
+import h11
+
+from mastledge.protocol import http
+from mastledge.protocol.clients import loads
+from mastledge.transport.connection import NoSocket, TimedOut, connect
+from mastledge.transport.loop import READ
+
+RETIRED = 0.7  # of the time after which a worker may close an idle connection; a launch must not cross that
+TAIL = 1_000_000  # for the end of an answer whose last line has come
+REPORTED = {"inflight": "outstanding", "queue": "backlog", "util": "busy", "utilization": "busy",
+            "x0": "free_slots", "x1": "free_memory"}
+
+
+class Peer:
+    """A worker as sockets know it: its address and the idle connections to it. Decisions name it by this."""
+
+    __slots__ = ("id", "address", "idle", "born", "state")
+
+    def __init__(self, wkr_id):
+        self.id, self.address, self.idle, self.born, self.state = wkr_id, None, [], 0, "ready"
+
+
+class Workers:
+    def __init__(self, loop, budget, inbox, settings, log):
+        self.loop, self.budget, self.inbox, self.log = loop, budget, inbox, log
+        self.connect_timeout = settings["connect_timeout"]
+        self.keep = int(settings["conn_idle"] * RETIRED)
+        self.fields = settings["report_fields"]
+
+    # Idle connections
+
+    def taken(self, peer):
+        """The connection used last: the others get old and go."""
+        while peer.idle:
+            conn, task = peer.idle.pop()
+            self.budget.busy("workers", conn)
+            conn.owner = None
+            self.loop.cancel(task)
+            if conn.quiet():
+                return conn
+            conn.close()
+        return None
+
+    def kept(self, peer, conn):
+        if peer.state != "ready" or not conn.quiet():
+            conn.close()
+            return
+        conn.buffer.clear()
+        conn.owner = peer
+        task = self.loop.spawn(self.watch(peer, conn, self.loop.now() + self.keep))
+        peer.idle.append((conn, task))
+        self.budget.rest("workers", conn, lambda: self.dropped(peer, conn))
+
+    def watch(self, peer, conn, until):
+        try:
+            yield (conn.fd, READ, until)
+        finally:
+            if conn.owner is peer:
+                self.forgotten(peer, conn)
+
+    def forgotten(self, peer, conn):
+        conn.owner = None
+        peer.idle = [pair for pair in peer.idle if pair[0] is not conn]
+        self.budget.busy("workers", conn)
+        conn.close()
+
+    def dropped(self, peer, conn):
+        task = next(task for known, task in peer.idle if known is conn)
+        self.forgotten(peer, conn)
+        self.loop.cancel(task)
+        return True
+
+    def hang_up(self, peer):
+        for conn, _ in list(peer.idle):
+            self.dropped(peer, conn)
+
+    # Launches
+
+    def launch(self, peer, launch, exchange, until):
+        """Runs one launch and tells `started`, `progress` and, once, `ended` of it."""
+        loop, inbox = self.loop, self.inbox
+        conn = None
+        launch.sent = False
+        try:
+            try:
+                conn = self.taken(peer)
+                if conn is None:
+                    conn = yield from connect(loop, self.budget, "workers", peer.address,
+                                              min(until, loop.now() + self.connect_timeout))
+                    http.attach(conn, h11.CLIENT)
+                left = max(1, (until - loop.now()) // 1000)
+                yield from conn.send(http.request(conn, exchange.method, exchange.target, [
+                    (b"host", b"%s:%d" % (peer.address[0].encode(), peer.address[1])), *exchange.headers,
+                    (b"x-remaining-ms", b"%d" % left),
+                    (b"content-length", b"%d" % len(exchange.body))], exchange.body), until)
+                launch.sent = True
+            except NoSocket:
+                self.log("out_of_descriptors", worker=peer.id)
+                inbox.put("ended", launch, "unsent", None, ())
+                return
+            except (OSError, TimedOut) as error:
+                # Not all of it was written, so it cannot have run.
+                self.log("not_sent", worker=peer.id, why=str(error) or "timed out")
+                inbox.put("ended", launch, "unreachable", None, ())
+                return
+            try:
+                how, result, report = yield from self.outcome(conn, launch, until)
+            except TimedOut:
+                how, result, report = "timeout", None, ()
+            except (OSError, h11.RemoteProtocolError) as error:
+                self.log("broken", worker=peer.id, why=str(error) or type(error).__name__)
+                how, result, report = "lost", None, ()
+            except (ValueError, http.TooLarge) as error:
+                self.log("malformed", worker=peer.id, why=str(error))
+                how, result, report = "error", None, ()
+            inbox.put("ended", launch, how, result, report)
+            if how in ("completed", "error", "full") and (yield from self.ended_well(conn)):
+                kept, conn = conn, None
+                self.kept(peer, kept)
+        finally:
+            if conn is not None:
+                conn.close()
+
+    def ended_well(self, conn):
+        try:
+            until = self.loop.now() + TAIL
+            while conn.http.their_state is h11.SEND_BODY:
+                yield from http.event(conn, until)
+            return http.again(conn)
+        except (OSError, TimedOut, h11.RemoteProtocolError):
+            return False
+
+    def outcome(self, conn, launch, until):
+        """How the launch ended, its result and the load report that came with it."""
+        head = yield from http.event(conn, until)
+        if not isinstance(head, h11.Response):
+            raise h11.RemoteProtocolError("ended before an answer")
+        fields = dict(head.headers)
+        report = self.report(fields.get(b"x-pressure", b""))
+        if head.status_code != 200:
+            unseen = head.status_code in (503, 504) and fields.get(b"x-turned-away") == b"1"
+            return "full" if unseen else "error", None, report
+        job_id = launch.name
+        while True:
+            line = yield from http.lines(conn, until)
+            if line is None:
+                return "lost", None, report
+            if not line.strip():
+                continue
+            told = loads(line)
+            state = told.get("state")
+            if told.get("id") != job_id:
+                raise ValueError(f"news of another job: {line[:80]!r}")
+            if state == "started":
+                self.inbox.put("started", launch)
+            elif state == "running":
+                share = told.get("share")
+                if isinstance(share, int | float):
+                    self.inbox.put("progress", launch, share)
+            elif state == "done":
+                result = told.get("result")
+                if not isinstance(result, str):
+                    raise ValueError(f"no result: {line[:80]!r}")
+                return "completed", result.encode(), self.loaded(told, report)
+            elif state in ("failed", "returned", "lost"):
+                how = {"failed": "error", "returned": "full", "lost": "lost"}[state]
+                return how, None, self.loaded(told, report)
+            else:
+                raise ValueError(f"unknown state: {line[:80]!r}")
+
+    def report(self, text):
+        pairs = (pair.partition(b"=") for pair in text.removeprefix(b"TEXT ").split(b","))
+        try:
+            return self.ordered({name.strip().decode(): float(value) for name, _, value in pairs if value})
+        except ValueError:
+            return ()
+
+    def loaded(self, told, report):
+        load = told.get("load")
+        return self.ordered(load) if isinstance(load, dict) else report
+
+    def ordered(self, load):
+        named = {REPORTED.get(name, name): value for name, value in load.items()}
+        return tuple(named.get(name, 0.0) for name in self.fields) if named else ()
+
+    def probe(self, peer):
+        """One look at a worker beside its jobs."""
+        conn, how, report, began = None, "unreachable", (), self.loop.now()
+        until = began + 2 * self.connect_timeout
+        try:
+            conn = yield from connect(self.loop, self.budget, "workers", peer.address, until)
+            http.attach(conn, h11.CLIENT)
+            how = "timeout"
+            headers = [(b"host", peer.address[0].encode()), (b"connection", b"close")]
+            yield from conn.send(http.request(conn, b"GET", b"/stats", headers), until)
+            head = yield from http.event(conn, until)
+            if not isinstance(head, h11.Response):
+                raise h11.RemoteProtocolError("ended before an answer")
+            content = yield from http.body(conn, until)
+            how = "completed" if head.status_code == 200 else "error"
+            report = self.ordered(loads(content)) if content else ()
+        except (OSError, TimedOut, NoSocket):
+            pass
+        except (ValueError, http.TooLarge, h11.RemoteProtocolError) as error:
+            how = "error"
+            self.log("malformed", worker=peer.id, why=str(error))
+        finally:
+            if conn is not None:
+                conn.close()
+        self.inbox.put("probed", peer, how, self.loop.now() - began, report)
--- /dev/null
+++ b/mastledge/routing/router.py
@@ -0,0 +1,180 @@
+"""The task that owns the decisions: reports what came in, carries out what is decided, keeps their timers."""
+
+import traceback
+
+from mastledge.protocol.workers import Peer
+
+
+class Job:
+    __slots__ = ("id", "exchange", "launches", "out", "began")
+
+    def __init__(self, job_id, exchange, now):
+        self.id, self.exchange, self.launches, self.out, self.began = job_id, exchange, [], 0, now
+
+
+class Launch:
+    """What a launch is to the host; the decisions name it by its job and its number among that job's."""
+
+    __slots__ = ("job", "n", "peer", "task", "name", "sent", "at", "ended")
+
+    def __init__(self, job, peer, name, now):
+        self.job, self.n, self.peer, self.name, self.at = job, len(job.launches), peer, name, now
+        self.task, self.sent, self.ended = None, False, False
+
+
+class Router:
+    def __init__(self, loop, inbox, balancer, workers, discovery, log):
+        self.loop, self.inbox, self.balancer = loop, inbox, balancer
+        self.workers, self.discovery, self.log = workers, discovery, log
+        self.jobs, self.peers, self.count, self.faults = {}, {}, 0, 0
+        self.totals = {"completed": 0, "rejected": 0, "killed": 0, "abandoned": 0}
+
+    def run(self):
+        inbox = self.inbox
+        while True:
+            now = self.loop.now()
+            while inbox.items:
+                what, *fields = inbox.items.popleft()
+                self.guarded(getattr(self, "on_" + what), now, *fields)
+            self.guarded(self.pull, now)
+            wake = self.balancer.wake_at()
+            yield from inbox.wait(None if wake is None else max(wake, now + 1))
+
+    def guarded(self, call, *fields):
+        """A fault over one job must not end the others; its client is answered when its time is over."""
+        try:
+            call(*fields)
+        except Exception as error:
+            self.faults += 1
+            self.log("fault", call=call.__name__, why=f"{type(error).__name__}: {error}",
+                     trace=traceback.format_exc(limit=-4))
+
+    # Inputs
+
+    def on_members(self, now, kind, entries):
+        told = []
+        for wkr_id, address, zone, state, born, cls, cell, units in entries:
+            peer = self.peers.get(wkr_id)
+            if peer is None:
+                peer = self.peers[wkr_id] = Peer(wkr_id)
+            if state != "ready" or born > peer.born or (peer.address and address != peer.address):
+                # Nothing new goes there, or its connections died with its former life.
+                self.workers.hang_up(peer)
+            peer.address, peer.born, peer.state = address, max(born, peer.born), state
+            told.append((zone, peer, state, born, cls, cell, units))
+        if kind in ("whole", "cached"):
+            named = {entry[0] for entry in entries}
+            for peer in self.peers.values():
+                if peer.id not in named:
+                    peer.state = "gone"
+                    self.workers.hang_up(peer)
+        self.balancer.members(now, kind, told)
+        if entries:
+            brief = [(e[0], e[3], e[4] and (now - e[4]) / 1e6) for e in entries[:12]]
+            self.log("members", kind=kind, generation=self.discovery.generation, count=len(entries), first=brief)
+
+    def on_arrived(self, now, exchange, *fields):
+        self.count += 1
+        job = exchange.job = Job(self.count, exchange, now)
+        self.jobs[job.id] = job
+        self.balancer.arrived(now, job.id, *fields)
+
+    def on_abandoned(self, now, exchange):
+        job = exchange.job
+        if job is not None and job.id in self.jobs:
+            self.closed(now, job, "abandoned")
+            self.balancer.abandoned(now, job.id)
+
+    def on_started(self, now, launch):
+        self.balancer.started(now, launch.job.id, launch.n)
+
+    def on_progress(self, now, launch, share):
+        self.balancer.progress(now, launch.job.id, launch.n, share)
+
+    def on_ended(self, now, launch, how, result, report):
+        if launch.ended:
+            return
+        launch.ended = True
+        job = launch.job
+        job.out -= 1
+        first = how == "completed" and job.exchange.open
+        if first:
+            job.exchange.completed(result)
+        self.balancer.ended(now, job.id, launch.n, how, now - launch.at, not job.exchange.open, report)
+        if first:
+            self.closed(now, job, "completed")
+        elif how != "completed":
+            self.log("launch_ended", job=launch.name, n=launch.n, worker=launch.peer.id, how=how,
+                     ms=(now - launch.at) / 1000)
+        self.forget(job)
+
+    def on_probed(self, now, peer, how, lag, report):
+        self.balancer.probed(now, peer, how, lag, report)
+
+    # Decisions
+
+    def pull(self, now):
+        decide = self.balancer.decide
+        while (decision := decide(now)) is not None:
+            what, *fields = decision
+            getattr(self, "do_" + what)(now, *fields)
+
+    def do_launch(self, now, job_id, peer, allowance):
+        job = self.jobs[job_id]
+        name = job.exchange.name
+        launch = Launch(job, peer, name, now)
+        job.launches.append(launch)
+        job.out += 1
+        until = min(job.exchange.until, now + allowance) if allowance else job.exchange.until
+        launch.task = self.loop.spawn(self.workers.launch(peer, launch, job.exchange, until))
+
+    def do_reject(self, now, job_id, hold_off):
+        job = self.jobs[job_id]
+        job.exchange.rejected(hold_off)
+        self.closed(now, job, "rejected")
+
+    def do_kill(self, now, job_id):
+        job = self.jobs[job_id]
+        job.exchange.killed()
+        self.closed(now, job, "killed")
+
+    def do_revoke(self, now, job_id, n):
+        launch = self.jobs[job_id].launches[n]
+        if not launch.ended:
+            self.loop.cancel(launch.task)
+            # Without its last byte a worker does not begin it.
+            self.inbox.put("ended", launch, "revoked" if launch.sent else "unsent", None, ())
+
+    def do_follow(self, now, on):
+        self.discovery.follow()
+
+    def do_fetch(self, now):
+        self.discovery.fetch()
+
+    def do_probe(self, now, peer):
+        self.loop.spawn(self.workers.probe(peer))
+
+    def do_log(self, now, text):
+        self.log("decisions", text=text)
+
+    # Jobs
+
+    def closed(self, now, job, how):
+        self.totals[how] += 1
+        ms = (now - job.began) / 1000
+        self.log("job", job=job.exchange.name, how=how, launches=len(job.launches), ms=ms)
+        self.forget(job)
+
+    def forget(self, job):
+        if not job.out and not job.exchange.open:
+            self.jobs.pop(job.id, None)
+
+    def give_up_all(self):
+        """The program has to end: what is still open gets the answer that promises nothing."""
+        now = self.loop.now()
+        for job in list(self.jobs.values()):
+            if job.exchange.open:
+                job.exchange.killed()
+                self.closed(now, job, "killed")
+                self.balancer.abandoned(now, job.id)
+        self.guarded(self.pull, now)
--- /dev/null
+++ b/mastledge/transport/budget.py
@@ -0,0 +1,37 @@
+"""Descriptors shared out over clients, workers and discovery; idle connections give way first."""
+
+SPARE = 24  # standard streams, epoll, wake-up, listener, discovery, and a few to answer with when all is full
+
+
+class Budget:
+    def __init__(self, sockets):
+        total = max(8, sockets - SPARE)
+        # A client in hand needs a worker's connection, so workers get the larger part.
+        self.most = {"clients": total * 9 // 20, "workers": total - total * 9 // 20, "discovery": 4}
+        self.used = dict.fromkeys(self.most, 0)
+        self.idle = {kind: {} for kind in self.most}
+
+    def take(self, kind):
+        """Whether one more may be opened; the one of its kind that has been idle longest goes for it."""
+        if self.used[kind] >= self.most[kind] and not self.evict(kind):
+            return False
+        self.used[kind] += 1
+        return True
+
+    def give(self, kind):
+        self.used[kind] -= 1
+
+    def rest(self, kind, what, close):
+        self.idle[kind][what] = close
+
+    def busy(self, kind, what):
+        return self.idle[kind].pop(what, None) is not None
+
+    def evict(self, *kinds):
+        """Closes the longest idle connection of these kinds; one that will not close now is passed over."""
+        for kind in kinds or ("workers", "clients"):
+            for what, close in list(self.idle[kind].items()):
+                if close():
+                    self.idle[kind].pop(what, None)
+                    return True
+        return False
--- /dev/null
+++ b/mastledge/transport/connection.py
@@ -0,0 +1,139 @@
+"""One TCP connection: its socket, its buffer, its place in the budget."""
+
+import errno
+import socket
+
+from mastledge.transport.buffer import Buffer
+from mastledge.transport.loop import READ, WRITE
+
+FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+class TimedOut(Exception):
+    """The time given for a wait is over."""
+
+
+class NoSocket(Exception):
+    """No descriptor is left for one more connection."""
+
+
+class Connection:
+    __slots__ = ("loop", "sock", "fd", "budget", "kind", "buffer", "left", "http", "owner")
+
+    def __init__(self, loop, sock, budget, kind):
+        """Takes over a socket for which the budget has been asked."""
+        self.loop, self.sock, self.fd = loop, sock, sock.fileno()
+        self.budget, self.kind, self.buffer, self.left = budget, kind, Buffer(), 0
+        self.http = self.owner = None
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def receive(self, until):
+        """The next bytes, b"" at the end; raises OSError when the connection breaks."""
+        while True:
+            try:
+                return self.buffer.receive(self.sock)
+            except BlockingIOError:
+                pass
+            if not (yield (self.fd, READ, until)):
+                raise TimedOut
+
+    def send(self, data, until):
+        """Writes all of it; `left` tells how much was not written when it raises."""
+        view = memoryview(data)
+        self.left = len(view)
+        while self.left:
+            try:
+                self.left -= self.sock.send(view[len(view) - self.left:])
+            except BlockingIOError:
+                if not (yield (self.fd, WRITE, until)):
+                    raise TimedOut from None
+
+    def quiet(self):
+        """Nothing unread and not ended: only then may it be used again, or closed as idle."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def end_sending(self):
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+
+    def close(self):
+        if self.fd >= 0:
+            self.loop.forget(self.fd)
+            self.fd = -1
+            self.sock.close()
+            self.budget.give(self.kind)
+
+
+def address_of(text):
+    """Host and port of HOST:PORT."""
+    host, _, port = text.rpartition(":")
+    host = host.strip("[]")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"no address of the form HOST:PORT: {text!r}")
+    return host, int(port)
+
+
+def connect(loop, budget, kind, address, until):
+    """A new connection; OSError or TimedOut when it does not come up, NoSocket when none may be opened."""
+    if not budget.take(kind):
+        raise NoSocket
+    conn = None
+    try:
+        try:
+            sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+        except OSError as error:
+            if error.errno not in FULL:
+                raise
+            budget.evict()
+            raise NoSocket from None
+        conn = Connection(loop, sock, budget, kind)
+        code = sock.connect_ex(address)
+        if code == errno.EINPROGRESS:
+            if not (yield (conn.fd, WRITE, until)):
+                raise TimedOut
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            raise OSError(code, "connect")
+        done, conn = conn, None
+        return done
+    except BaseException:
+        if conn is None:
+            budget.give(kind)
+        raise
+    finally:
+        if conn is not None:
+            conn.close()
+
+
+def listen(address, backlog=1024):
+    sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setblocking(False)
+    sock.bind(address)
+    sock.listen(backlog)
+    return sock
+
+
+def accept(sock, budget):
+    """All that wait now, and whether descriptors ran out before they were all taken."""
+    out = []
+    while True:
+        try:
+            out.append(sock.accept()[0])
+        except (BlockingIOError, ConnectionAbortedError):
+            return out, False
+        except OSError as error:
+            if error.errno in FULL:
+                if budget.evict("clients") or budget.evict("workers"):
+                    continue
+                return out, True
+            raise
--- /dev/null
+++ b/mastledge/transport/loop.py
@@ -0,0 +1,144 @@
+"""Generators as coroutines over select.epoll, in one thread.
+
+A coroutine yields (descriptor or -1, epoll events, time or None) and is resumed with the events that came,
+with 0 when the time is over, or with what wake() handed it. Times are whole microseconds, monotonic.
+"""
+
+import select
+import time
+from collections import deque
+from heapq import heappop, heappush
+
+READ, WRITE, GONE = select.EPOLLIN, select.EPOLLOUT, select.EPOLLRDHUP
+
+
+class Task:
+    __slots__ = ("gen", "fd", "turn", "mail", "ended")
+
+    def __init__(self, gen):
+        self.gen, self.fd, self.turn, self.mail, self.ended = gen, -1, 0, deque(), False
+
+
+class Loop:
+    def __init__(self, on_error):
+        self.epoll = select.epoll()
+        self.on_error = on_error
+        self.waiters, self.masks = {}, {}
+        self.ready, self.timers, self.pushes = deque(), [], 0
+        self.running = True
+
+    @staticmethod
+    def now():
+        return time.monotonic_ns() // 1000
+
+    def spawn(self, gen):
+        task = Task(gen)
+        self.ready.append((task, task.turn, None))
+        return task
+
+    def wake(self, task, value=None):
+        """Hands a value to a coroutine, now or when it next waits."""
+        if task.ended:
+            return
+        task.mail.append(value)
+        if len(task.mail) == 1:
+            self.ready.append((task, task.turn, task.mail))
+
+    def cancel(self, task):
+        """Ends a coroutine where it waits; its finally clauses give back what it held."""
+        if not task.ended:
+            self.disarm(task)
+            task.ended = True
+            try:
+                task.gen.close()
+            except Exception as error:
+                self.on_error(error)
+
+    def forget(self, fd):
+        """To be called before a descriptor is closed: its number may be another's at once."""
+        self.masks.pop(fd, None)
+        self.waiters.pop(fd, None)
+
+    def disarm(self, task):
+        task.turn += 1
+        if task.fd >= 0 and self.waiters.get(task.fd) is task:
+            del self.waiters[task.fd]
+        task.fd = -1
+
+    def step(self, task, value):
+        self.disarm(task)
+        try:
+            fd, mask, until = task.gen.send(value)
+        except StopIteration:
+            task.ended = True
+            return
+        except Exception as error:
+            # One connection's error is its own end and nobody else's.
+            task.ended = True
+            self.on_error(error)
+            return
+        if fd >= 0:
+            task.fd, self.waiters[fd] = fd, task
+            known = self.masks.get(fd)
+            if known != mask:
+                self.masks[fd] = mask
+                (self.epoll.register if known is None else self.epoll.modify)(fd, mask)
+        if until is not None:
+            self.pushes += 1
+            heappush(self.timers, (until, self.pushes, task, task.turn))
+        if task.mail:
+            self.ready.append((task, task.turn, task.mail))
+
+    def come(self, fd, events):
+        task = self.waiters.get(fd)
+        if task is not None:
+            self.step(task, events)
+        elif fd in self.masks:
+            # Nobody waits for it now, and epoll would tell of it again and again.
+            self.epoll.unregister(fd)
+            del self.masks[fd]
+
+    def once(self, longest=None):
+        ready, timers = self.ready, self.timers
+        while ready:
+            task, turn, value = ready.popleft()
+            if task.ended or turn != task.turn:
+                # It was resumed for another reason meanwhile, so mail it had was seen when it next waited.
+                continue
+            self.step(task, value.popleft() if value is task.mail else value)
+        while timers and (timers[0][2].ended or timers[0][3] != timers[0][2].turn):
+            heappop(timers)
+        wait = longest
+        if timers:
+            left = max(0, timers[0][0] - self.now())
+            wait = left if wait is None else min(wait, left)
+        for fd, events in self.epoll.poll(None if wait is None else wait / 1e6):
+            self.come(fd, events)
+        now = self.now()
+        while timers and timers[0][0] <= now:
+            _, _, task, turn = heappop(timers)
+            if not task.ended and turn == task.turn:
+                self.step(task, 0)
+
+    def run(self):
+        while self.running:
+            self.once()
+
+
+class Queue:
+    """Many put, one coroutine takes; the only way from sockets to the decisions."""
+
+    def __init__(self, loop):
+        self.loop, self.items, self.reader, self.told = loop, deque(), None, False
+
+    def put(self, *item):
+        self.items.append(item)
+        if self.reader is not None and not self.told:
+            self.told = True
+            self.loop.wake(self.reader)
+
+    def wait(self, until):
+        """Returns once something is there or the time is over."""
+        if not self.items:
+            yield (-1, 0, until)
+        self.told = False
