--- a/mastledge/routing/router.py
+++ b/mastledge/routing/router.py
@@ -71,7 +71,8 @@
         self.balancer.members(now, kind, told)
         if entries:
             brief = [(e[0], e[3], e[4] and (now - e[4]) / 1e6) for e in entries[:12]]
-            self.log("members", kind=kind, generation=self.discovery.generation, count=len(entries), first=brief)
+            generation = self.discovery.generation
+            self.log("members", kind=kind, generation=generation, count=len(entries), first=brief)
 
     def on_arrived(self, now, exchange, *fields):
         self.count += 1
