--- a/mastledge/program/phases.py
+++ b/mastledge/program/phases.py
@@ -87,7 +87,7 @@
         listening = loop.spawn(door.listen(self.sock))
         self.go(WAITING)
         while not self.signalled and not any(p.state == "ready" for p in router.peers.values()):
-            yield (-1, 0, loop.now() + LOOK)
+            yield (-1, 0, loop.now() + LOOK // 10)
         if not self.signalled:
             door.ready = True
             self.go(SERVING)
--- a/mastledge/protocol/clients.py
+++ b/mastledge/protocol/clients.py
@@ -9,6 +9,7 @@
 
 SLOW = 30_000_000  # a request that has begun must be whole by then
 IDLE = 120_000_000
+PAUSE = 20_000  # where descriptors are short
 LINGER = 1_000_000  # what is still under way is read, or closing would reset the answer to it
 COMPLETED, REJECTED, KILLED = 200, 503, 500
 
@@ -65,20 +66,34 @@
     def listen(self, sock):
         while True:
             yield (sock.fileno(), READ, None)
-            fresh, short = accept(sock, self.budget)
-            for one in fresh:
-                self.welcome(one)
-            if short:
+            if self.last_call(sock):
                 self.log("out_of_descriptors", clients=len(self.clients))
-                yield (-1, 0, self.loop.now() + 20_000)
+                yield (-1, 0, self.loop.now() + PAUSE)
+
+    def last_call(self, sock):
+        """Takes in all that the machine has accepted; True where descriptors do not suffice for that."""
+        while not self.budget.beyond("clients"):
+            one, short = accept(sock, self.budget)
+            if one is None:
+                return short
+            try:
+                self.welcome(one)
+            except OSError as error:
+                # It may be gone before it is looked at.
+                self.log("client_lost", why=str(error))
+        return True
 
     def welcome(self, sock):
         # Its request may count as taken already, so beyond the budget it still gets a proper rejection.
         beyond = not self.budget.take("clients")
         if beyond:
             self.budget.used["clients"] += 1
-        conn = http.attach(Connection(self.loop, sock, self.budget, "clients"), h11.SERVER)
-        conn.owner = self
+        try:
+            conn = http.attach(Connection(self.loop, sock, self.budget, "clients"), h11.SERVER)
+        except OSError:
+            sock.close()
+            self.budget.give("clients")
+            raise
         task = self.loop.spawn(self.serve(conn, beyond))
         self.clients.add((conn, task))
 
@@ -89,11 +104,6 @@
         self.loop.cancel(task)
         return True
 
-    def last_call(self, sock):
-        """What the machine has accepted before the listening socket closes is a client like all others."""
-        for one in accept(sock, self.budget)[0]:
-            self.welcome(one)
-
     def close_all_idle(self):
         for close in list(self.budget.idle["clients"].values()):
             close()
@@ -130,7 +140,7 @@
                 status, headers, content = reply
                 last = beyond or self.leaving
                 yield from conn.send(http.answer(conn, status, headers, content, last), loop.now() + SLOW)
-                if last or not http.again(conn):
+                if last or not http.again(conn.http):
                     yield from self.linger(conn)
                     return
         except (OSError, TimedOut):
--- a/mastledge/protocol/discovery.py
+++ b/mastledge/protocol/discovery.py
@@ -7,7 +7,11 @@
 from mastledge.transport.connection import NoSocket, TimedOut, address_of, connect
 from mastledge.transport.loop import Loop
 
-SILENT = 3_500_000  # while nothing changes an empty line comes every 2 s
+SILENT = 2_600_000  # while nothing changes an empty line comes every 2 s
+ANSWER = 1_000_000  # the list is held on this machine and is given at once, or not at all
+# What discovery holds counts as told, so a watch that broke is taken up again soon, but not in a rush.
+PAUSE, LONGEST = 50_000, 400_000
+MOST_LIST = 16 * 1024 * 1024
 STATES = {"ready", "draining", "gone"}
 
 
@@ -21,65 +25,77 @@
         self.zones = {name: n for n, name in enumerate(words["zones"])}
         self.kinds = {name: n for n, name in enumerate(words["kinds"])}
         self.since = words["unix_now"] - Loop.now()
-        self.generation, self.task = None, None
+        self.generation, self.task, self.trouble = None, None, None
 
-    def entries(self, told):
-        """Each worker of a list as (id, address, zone, state, start, kind, cell, units)."""
+    def entry(self, one):
+        """A worker of a list as (id, address, zone, state, start, kind, cell, units)."""
+        zone, kind, started = one["zone"], one["machineType"], one["startedAtMs"]
+        if one["lifecycle"] not in STATES or not isinstance(one["instanceId"], str):
+            raise ValueError(f"no worker: {one!r}"[:200])
+        # The clock of the decisions is monotonic, so a start is moved to it by one fixed difference.
+        born = (round(started * 1000) - self.since or 1) if started else 0
+        # A zone or kind that the settings do not name is a new one, unlike all others.
+        return (one["instanceId"], address_of(one["hostPort"]), self.zones.setdefault(zone, len(self.zones)),
+                one["lifecycle"], born, self.kinds.setdefault(kind, len(self.kinds)),
+                int(one["cell"]), float(one["weight"]))
+
+    def apply(self, told, whole=None):
+        """Takes over a list or a change. One bad entry spoils a change, but not a whole list asked for."""
+        entries = []
         try:
-            generation, out = told["generation"], []
-            for one in told["instances"]:
-                zone, kind, started = one["zone"], one["machineType"], one["startedAtMs"]
-                if one["lifecycle"] not in STATES or not isinstance(one["instanceId"], str):
-                    raise BadList(f"no worker: {one!r}"[:200])
-                # The clock of the decisions is monotonic, so a start is moved to it by one fixed difference.
-                born = (round(started * 1000) - self.since or 1) if started else 0
-                address = address_of(one["hostPort"])
-                # A zone or kind that the settings do not name is a new one, unlike all others.
-                out.append((one["instanceId"], address, self.zones.setdefault(zone, len(self.zones)),
-                            one["lifecycle"], born, self.kinds.setdefault(kind, len(self.kinds)),
-                            int(one["cell"]), float(one["weight"])))
+            generation, reset = told["generation"], bool(told["reset"])
             if not isinstance(generation, int):
-                raise BadList(f"no generation: {generation!r}")
-            return generation, bool(told["reset"]), out
+                raise ValueError(f"no generation: {generation!r}")
+            for one in told["instances"]:
+                try:
+                    entries.append(self.entry(one))
+                except (KeyError, TypeError, AttributeError, ValueError) as error:
+                    if whole is None:
+                        raise
+                    self.log("bad_entry", why=f"{type(error).__name__}: {error}")
         except (KeyError, TypeError, AttributeError, ValueError) as error:
             raise BadList(f"{type(error).__name__}: {error}") from None
-
-    def apply(self, told, kind=None):
-        generation, reset, entries = self.entries(told)
         self.generation = generation
-        if entries or reset or kind:
-            self.inbox.put("members", kind or ("whole" if reset else "changes"), entries)
+        if entries or reset or whole:
+            self.inbox.put("members", whole or ("whole" if reset else "changes"), entries)
 
     def follow(self):
-        """Starts the watch unless it runs."""
+        """Starts the watch unless it is kept up already."""
         if self.task is None or self.task.ended:
-            self.task = self.loop.spawn(self.run(True))
+            self.task = self.loop.spawn(self.kept_up())
 
     def fetch(self):
-        self.loop.spawn(self.run(False))
+        self.loop.spawn(self.tried(self.whole()))
 
-    def run(self, watch):
-        why = "ended"
+    def kept_up(self):
+        fails = 0
+        while True:
+            began = self.loop.now()
+            yield from self.tried(self.watch())
+            fails = 0 if self.loop.now() - began > SILENT else fails + 1
+            yield (-1, 0, self.loop.now() + min(PAUSE << min(fails, 8), LONGEST))
+
+    def tried(self, steps):
+        """Runs a call of discovery; whatever becomes of it, the list that is held stays in force."""
         try:
-            if self.generation is None or not watch:
-                yield from self.whole()
-            if watch:
-                yield from self.watch()
-        except (OSError, TimedOut, NoSocket, h11.RemoteProtocolError) as error:
+            yield from steps
+            return
+        except BadList as error:
+            # What comes after it cannot be trusted to build on what is held.
+            self.generation, why = None, f"bad list: {error}"
+        except (OSError, TimedOut, NoSocket, h11.RemoteProtocolError, http.TooLarge) as error:
             why = str(error) or type(error).__name__
-        except (BadList, ValueError, http.TooLarge) as error:
-            # What came after it cannot be trusted to build on what was held.
-            why = f"bad list: {error}"
-            self.generation = None
-        if watch or why != "ended":
+        if why != self.trouble:
+            # Taken up again several times a second, it must not fill the log while it is down.
+            self.trouble = why
             self.log("discovery_broken", why=why, generation=self.generation)
-            self.inbox.put("members", "failed", ())
+        self.inbox.put("members", "failed", ())
 
     def asked(self, target):
-        conn = yield from connect(self.loop, self.budget, "discovery", self.address, self.loop.now() + SILENT)
+        until = self.loop.now() + ANSWER
+        conn = yield from connect(self.loop, self.budget, "discovery", self.address, until)
         try:
             http.attach(conn, h11.CLIENT)
-            until = self.loop.now() + SILENT
             host = (b"host", b"%s:%d" % (self.address[0].encode(), self.address[1]))
             yield from conn.send(http.request(conn, b"GET", target, [host]), until)
             head = yield from http.event(conn, until)
@@ -90,25 +106,34 @@
             conn.close()
             raise
 
+    def read(self, line):
+        try:
+            return loads(line)
+        except ValueError as error:
+            raise BadList(str(error)) from None
+
     def whole(self):
         conn = yield from self.asked(b"/registry/instances")
         try:
-            content = b""
-            # A list may be longer than a client's body.
-            while (line := (yield from http.lines(conn, self.loop.now() + SILENT))) is not None:
-                content += line
-            self.apply(loads(content), "whole")
+            parts = []
+            while (line := (yield from http.lines(conn, self.loop.now() + SILENT, MOST_LIST))) is not None:
+                parts.append(line)
+            self.apply(self.read(b"\n".join(parts)), "whole")
         finally:
             conn.close()
 
     def watch(self):
+        if self.generation is None:
+            yield from self.whole()
         conn = yield from self.asked(b"/registry/instances?follow=1&since=%d" % self.generation)
         try:
+            self.trouble = None
             self.log("discovery_followed", generation=self.generation)
-            # Nothing new is news as well: it ends a failure.
+            # That it answers is news as well: it ends a failure.
             self.inbox.put("members", "changes", ())
-            while (line := (yield from http.lines(conn, self.loop.now() + SILENT))) is not None:
+            while (line := (yield from http.lines(conn, self.loop.now() + SILENT, MOST_LIST))) is not None:
                 if line.strip():
-                    self.apply(loads(line))
+                    self.apply(self.read(line))
+            raise h11.RemoteProtocolError("the watch ended")
         finally:
             conn.close()
--- a/mastledge/protocol/http.py
+++ b/mastledge/protocol/http.py
@@ -4,6 +4,7 @@
 
 MOST_BODY = 64 * 1024
 MOST_HEAD = 32 * 1024
+MOST_LINE = 8 * MOST_BODY  # a result is text inside JSON, where a byte may take six
 # What speaks of one connection only, or is said anew on the next one.
 DROPPED = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
            b"upgrade", b"content-length", b"host", b"expect"}
@@ -45,13 +46,13 @@
             raise h11.RemoteProtocolError(f"{type(got).__name__} inside a body")
 
 
-def lines(conn, until):
+def lines(conn, until, most=MOST_LINE):
     """The next line of a chunked answer, or None where the answer has ended. `until` bounds the silence."""
     while True:
         line = conn.buffer.line()
         if line is not None:
             return line
-        if len(conn.buffer) > 64 * MOST_BODY:
+        if len(conn.buffer) > most:
             raise TooLarge
         got = yield from event(conn, until)
         if isinstance(got, h11.Data):
@@ -77,10 +78,9 @@
     return head + (send(h11.Data(data=content)) if content else b"") + send(h11.EndOfMessage())
 
 
-def again(conn):
-    """Whether the connection can carry another request, and made ready for it."""
-    http = conn.http
-    if http.our_state is h11.DONE and http.their_state is h11.DONE and not http.trailing_data[0]:
-        http.start_next_cycle()
+def again(parser):
+    """Whether its connection can carry another request, and made ready for it."""
+    if parser.our_state is h11.DONE and parser.their_state is h11.DONE:
+        parser.start_next_cycle()
         return True
     return False
--- a/mastledge/protocol/workers.py
+++ b/mastledge/protocol/workers.py
@@ -81,12 +81,12 @@
     def launch(self, peer, launch, exchange, until):
         """Runs one launch and tells `started`, `progress` and, once, `ended` of it."""
         loop, inbox = self.loop, self.inbox
-        conn = None
-        launch.sent = False
+        conn, fresh = None, False
         try:
             try:
                 conn = self.taken(peer)
                 if conn is None:
+                    fresh = True
                     conn = yield from connect(loop, self.budget, "workers", peer.address,
                                               min(until, loop.now() + self.connect_timeout))
                     http.attach(conn, h11.CLIENT)
@@ -101,9 +101,11 @@
                 inbox.put("ended", launch, "unsent", None, ())
                 return
             except (OSError, TimedOut) as error:
-                # Not all of it was written, so it cannot have run.
+                # Not all of it was written, so it cannot have run. That a connection which stood idle
+                # breaks, or that the job's time was too short to connect, says nothing of the worker.
                 self.log("not_sent", worker=peer.id, why=str(error) or "timed out")
-                inbox.put("ended", launch, "unreachable", None, ())
+                how = "unreachable" if fresh and loop.now() < until else "unsent"
+                inbox.put("ended", launch, how, None, ())
                 return
             try:
                 how, result, report = yield from self.outcome(conn, launch, until)
@@ -128,7 +130,8 @@
             until = self.loop.now() + TAIL
             while conn.http.their_state is h11.SEND_BODY:
                 yield from http.event(conn, until)
-            return http.again(conn)
+            # Bytes beyond the answer belong to nothing that was asked.
+            return conn.http.trailing_data == (b"", False) and http.again(conn.http)
         except (OSError, TimedOut, h11.RemoteProtocolError):
             return False
 
--- a/mastledge/transport/budget.py
+++ b/mastledge/transport/budget.py
@@ -11,6 +11,10 @@
         self.used = dict.fromkeys(self.most, 0)
         self.idle = {kind: {} for kind in self.most}
 
+    def beyond(self, kind, spare=SPARE // 2):
+        """Whether even the few that are answered although the budget is used up are too many."""
+        return self.used[kind] >= self.most[kind] + spare and not self.evict(kind)
+
     def take(self, kind):
         """Whether one more may be opened; the one of its kind that has been idle longest goes for it."""
         if self.used[kind] >= self.most[kind] and not self.evict(kind):
--- a/mastledge/transport/connection.py
+++ b/mastledge/transport/connection.py
@@ -124,16 +124,13 @@
 
 
 def accept(sock, budget):
-    """All that wait now, and whether descriptors ran out before they were all taken."""
-    out = []
+    """The next connection that waits, or None, and whether to wait a little before the next call."""
     while True:
         try:
-            out.append(sock.accept()[0])
-        except (BlockingIOError, ConnectionAbortedError):
-            return out, False
+            return sock.accept()[0], False
+        except BlockingIOError:
+            return None, False
         except OSError as error:
-            if error.errno in FULL:
-                if budget.evict("clients") or budget.evict("workers"):
-                    continue
-                return out, True
-            raise
+            # Whatever became of one connection that waited, the next ones must still be taken.
+            if error.errno not in FULL or not budget.evict("clients", "workers"):
+                return None, True
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,6 +1,16 @@
 """Builds the state that a test needs."""
 
+import socket
+
+import h11
+
 from mastledge.balance import Balancer
+from mastledge.protocol import http
+from mastledge.protocol.clients import Door
+from mastledge.protocol.workers import Peer, Workers
+from mastledge.transport.budget import Budget
+from mastledge.transport.connection import Connection, listen
+from mastledge.transport.loop import Loop, Queue
 
 STEP = 4_000
 
@@ -39,3 +49,69 @@
     while (decision := made.decide(now)) is not None:
         out.append(decision)
     return out
+
+
+class Rig:
+    """A loop with its queue and budget, and what was logged."""
+
+    def __init__(self, sockets=64):
+        self.errors, self.logged = [], []
+        self.loop = Loop(self.errors.append)
+        self.inbox, self.budget = Queue(self.loop), Budget(sockets)
+
+    def log(self, event, **fields):
+        self.logged.append((event, fields))
+
+    def turn(self, until, longest=2_000_000):
+        """Lets everything run until something holds, for a while at the most."""
+        last = self.loop.now() + longest
+        while not until() and self.loop.now() < last:
+            self.loop.once(10_000)
+        return until()
+
+    def pair(self, kind="clients", role=h11.SERVER):
+        """A connection of the dispatcher's and the plain socket at its other end."""
+        door = listen(("127.0.0.1", 0))
+        theirs = socket.create_connection(door.getsockname(), 2)
+        door.setblocking(True)
+        ours, _ = door.accept()
+        door.close()
+        self.budget.take(kind)
+        return http.attach(Connection(self.loop, ours, self.budget, kind), role), theirs
+
+
+def door(rig, types=None, most_held=100):
+    types = types or [queue_type(name="render")]
+    words = {"queue_types": types, "tenants": ["a", "b"], "most_held": most_held}
+    made = Door(rig.loop, rig.budget, rig.inbox, words, rig.log)
+    made.ready = True
+    return made
+
+
+def client(rig, made, beyond=False):
+    """A client's socket, served by this door."""
+    conn, theirs = rig.pair()
+    task = rig.loop.spawn(made.serve(conn, beyond))
+    made.clients.add((conn, task))
+    return theirs
+
+
+def job(path="/render", body=b"x", **headers):
+    """A client's request; a header that is None is left out."""
+    fields = {"Host": "h", "X_Txn": "9b1f", "X_Remaining_Ms": "480", "Content_Length": len(body), **headers}
+    lines = [f"{name}: {value}".replace("_", "-", 2) for name, value in fields.items() if value is not None]
+    return "\r\n".join([f"POST {path} HTTP/1.1", *lines, "", ""]).encode() + body
+
+
+def workers(rig):
+    settings = {"connect_timeout": 250_000, "conn_idle": 5_000_000, "report_fields": ["busy", "outstanding"]}
+    return Workers(rig.loop, rig.budget, rig.inbox, settings, rig.log)
+
+
+def peer_at(wkr_id="s-1"):
+    """A worker and the socket on which it listens."""
+    sock = listen(("127.0.0.1", 0))
+    peer = Peer(wkr_id)
+    peer.address = sock.getsockname()
+    sock.settimeout(2)
+    return peer, sock
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,178 @@
+"""Routing and the program round it."""
+
+import os
+
+import orjson
+import pytest
+from helpers import Rig, balancer, peer_at, queue_type, workers
+
+from mastledge.program.configuration import BadConfiguration, configuration
+from mastledge.program.logs import Log
+from mastledge.program.phases import FINISHING, LEAVING, NEXT, SERVING, STARTING, WAITING, Program
+from mastledge.program.settings import flat
+from mastledge.protocol.clients import Exchange
+from mastledge.routing.router import Router
+
+
+class Answers:
+    """Stands where the door would: keeps the answers of an exchange."""
+
+    def __init__(self, rig):
+        self.loop, self.given = self, []
+        self.rig = rig
+
+    def wake(self, task, answer):
+        self.given.append(answer)
+
+
+def router(rig, effect="restartable", listed=1):
+    made = Router(rig.loop, rig.inbox, balancer([queue_type(effect)], workers=0), workers(rig), None, rig.log)
+    made.discovery = type("Told", (), {"generation": 1})
+    now, entries, socks = rig.loop.now(), [], []
+    for n in range(listed):
+        peer, sock = peer_at(f"s-{n}")
+        socks.append(sock)
+        entries.append((peer.id, peer.address, 0, "ready", 0, 0, 0, 1.0))
+    made.on_members(now, "whole", entries)
+    return made, socks
+
+
+def arrived(rig, made, patience=500_000):
+    door = Answers(rig)
+    exchange = Exchange(door)
+    exchange.task, exchange.name, exchange.until = None, "9b1f", rig.loop.now() + patience
+    exchange.method, exchange.target, exchange.headers, exchange.body = b"POST", b"/render", [], b""
+    made.on_arrived(rig.loop.now(), exchange, 0, 100_000, 0, 1.0, 0.0, 0, patience)
+    made.guarded(made.pull, rig.loop.now())
+    return made.jobs[made.count], door.given
+
+
+@pytest.mark.parametrize(("hows", "answers"), [
+    (["completed"], [200]), (["completed", "completed"], [200]), (["error", "completed"], [200]),
+    (["full", "unreachable"], [])])
+def test_the_first_result_is_the_only_answer(hows, answers):
+    rig = Rig()
+    made, _ = router(rig, listed=3)
+    job, given = arrived(rig, made)
+    for how in hows:
+        made.on_ended(rig.loop.now(), job.launches[-1], how, b"r" if how == "completed" else None, ())
+        made.guarded(made.pull, rig.loop.now())
+    assert [answer[0] for answer in given] == answers and not made.faults
+
+
+@pytest.mark.parametrize(("sent", "how"), [(False, "unsent"), (True, "revoked")])
+def test_a_revoked_launch_ends_as_may_have_run_only_when_it_was_sent(sent, how):
+    rig = Rig()
+    made, _ = router(rig)
+    job, _ = arrived(rig, made)
+    job.launches[0].sent = sent
+    made.do_revoke(rig.loop.now(), job.id, 0)
+    assert rig.inbox.items[-1][2] == how and job.launches[0].task.ended
+
+
+@pytest.mark.parametrize("how", ["completed", "error", "lost", "timeout"])
+def test_nothing_is_answered_or_launched_for_a_client_that_left(how):
+    rig = Rig()
+    made, _ = router(rig)
+    job, given = arrived(rig, made)
+    job.exchange.open = False
+    made.on_abandoned(rig.loop.now(), job.exchange)
+    made.guarded(made.pull, rig.loop.now())
+    made.on_ended(rig.loop.now(), job.launches[0], how, b"r", ())
+    made.guarded(made.pull, rig.loop.now())
+    assert not given and not made.jobs and len(job.launches) == 1 and not made.faults
+
+
+def test_a_program_that_has_to_end_kills_what_is_open():
+    rig = Rig()
+    made, _ = router(rig, "run-once")
+    job, given = arrived(rig, made)
+    made.give_up_all()
+    assert [answer[0] for answer in given] == [500] and made.totals["killed"] == 1
+    assert job.launches[0].task.ended
+
+
+@pytest.mark.parametrize(("state", "born"), [("draining", 0), ("gone", 0), ("ready", 50)])
+def test_idle_connections_to_a_leaving_or_restarted_worker_are_closed(state, born):
+    rig = Rig()
+    made, _ = router(rig)
+    (peer,) = made.peers.values()
+    hung = []
+    made.workers.hang_up = hung.append
+    made.on_members(rig.loop.now(), "changes", [(peer.id, peer.address, 0, state, born, 0, 0, 1.0)])
+    assert hung == [peer] and made.balancer.workers[peer].state == state
+
+
+def test_a_worker_missing_from_a_whole_list_gets_no_idle_connections():
+    rig = Rig()
+    made, _ = router(rig, listed=2)
+    first, second = made.peers.values()
+    made.on_members(rig.loop.now(), "whole", [(second.id, second.address, 0, "ready", 0, 0, 0, 1.0)])
+    assert (first.state, second.state) == ("gone", "ready")
+
+
+def test_a_fault_over_one_job_is_logged_and_passed():
+    rig = Rig()
+    made, _ = router(rig)
+    made.guarded(made.do_launch, 0, 99, None, 0)
+    assert made.faults == 1 and rig.logged[-1][0] == "fault"
+
+
+GOOD = {"listen": "127.0.0.1:7070", "discovery": "127.0.0.1:8500", "seed": "8c1f", "settings": {
+    "balancers": 2, "me": 0, "stepMs": 4.0, "discovery": "pushed",
+    "limits": {"maxLaunches": 5, "cancel": True},
+    "rules": {"coldFrom": 0.3, "coldMs": 8700.0, "fallMs": 1000.0, "fallMultiple": 3.0,
+              "stopSendingWithinMs": 1000.0},
+    "queueTypes": [{"name": "render", "targetTurnaroundMs": 150.0, "walltimeMs": 5000.0,
+                    "idempotency": "pure"}]}}
+
+
+def file(path, **changed):
+    place = path / "config.json"
+    place.write_bytes(orjson.dumps({**GOOD, **changed}))
+    return str(place)
+
+
+def test_a_configuration_becomes_a_plain_map(tmp_path):
+    told = configuration(file(tmp_path, limits={"sockets": 512}), {})
+    settings = told["settings"]
+    assert (told["listen"], told["seed"], told["sockets"]) == (("127.0.0.1", 7070), 0x8c1f, 512)
+    assert settings["queue_types"][0]["effect"] == "restartable" and settings["may_revoke"] is True
+    assert settings["cold_for"] == 8_700_000
+
+
+@pytest.mark.parametrize(("changed", "says"), [
+    ({"listen": None}, "listen is missing"), ({"listen": "7070"}, "HOST:PORT"), ({"seed": "xyz"}, "invalid"),
+    ({"settings": {}}, "balancers is missing"), ({"settings": {**GOOD["settings"], "stepMs": []}}, "stepMs"),
+    ({"settings": {**GOOD["settings"], "queueTypes": []}}, "queueTypes"), ({"limits": 4}, "limits")])
+def test_a_bad_configuration_is_one_plain_message(changed, says, tmp_path):
+    with pytest.raises(BadConfiguration, match=says):
+        configuration(file(tmp_path, **changed), {})
+
+
+@pytest.mark.parametrize(("nested", "pairs"), [
+    ({"a": {"b": 1}}, {"a.b": 1}), ({"a": ["x", "y"]}, {"a": ["x", "y"]}),
+    ({"a": [{"b": 1}, {"b": 2}]}, {"a": [], "a.count": 2, "a.0.b": 1, "a.1.b": 2})])
+def test_nested_settings_are_found_by_their_paths(nested, pairs):
+    assert flat(nested) == pairs
+
+
+def test_a_log_that_nobody_reads_is_not_waited_for():
+    reads, writes = os.pipe()
+    log = Log(writes, "n1")
+    for n in range(2_000):
+        log("event", n=n, text="x" * 100)
+    lost = log.lost
+    while len(os.read(reads, 65536)) == 65536:
+        pass
+    log("after")
+    assert lost and orjson.loads(os.read(reads, 65536).splitlines()[-1])["lost"] == lost
+
+
+@pytest.mark.parametrize(("phase", "to"), [(STARTING, SERVING), (SERVING, FINISHING), (LEAVING, WAITING)])
+def test_phases_follow_their_order(phase, to):
+    program = object.__new__(Program)
+    program.phase = phase
+    with pytest.raises(RuntimeError):
+        program.go(to)
+    assert to not in NEXT[phase] and program.phase == phase
--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,127 @@
+"""Loop, buffer, budget, connection."""
+
+import pytest
+from helpers import Rig
+
+from mastledge.transport.buffer import FIRST, Buffer
+from mastledge.transport.connection import TimedOut, accept, listen
+from mastledge.transport.loop import READ
+
+
+@pytest.mark.parametrize("parts", [[b"one\ntwo\nthr", b"ee\n"], [b"o", b"ne\n", b"two\nthree\n"],
+                                   [b"one\ntwo\nthree\n"]])
+def test_lines_come_whole_however_their_bytes_came(parts):
+    buffer, lines = Buffer(), []
+    for part in parts:
+        buffer.keep(part)
+        while (line := buffer.line()) is not None:
+            lines.append(line)
+    assert lines == [b"one", b"two", b"three"] and len(buffer) == 0
+
+
+def test_what_was_read_makes_room_in_place():
+    buffer = Buffer()
+    for n in range(4 * FIRST // 100):
+        buffer.keep(b"%099d\n" % n)
+        assert buffer.line() == b"%099d" % n
+    assert len(buffer.data) == FIRST
+
+
+@pytest.mark.parametrize("size", [FIRST - 1, FIRST + 1, 20 * FIRST])
+def test_room_grows_as_needed_and_is_given_back(size):
+    buffer = Buffer()
+    buffer.keep(b"a" * size)
+    buffer.keep(b"b")
+    assert buffer.take() == b"a" * size + b"b" and len(buffer.data) <= 4 * FIRST
+
+
+def test_one_coroutine_s_error_is_its_own():
+    rig, seen = Rig(), []
+
+    def bad():
+        yield (-1, 0, rig.loop.now())
+        raise ValueError("one")
+
+    def good():
+        yield (-1, 0, rig.loop.now() + 1000)
+        seen.append("good")
+
+    rig.loop.spawn(bad())
+    rig.loop.spawn(good())
+    assert rig.turn(lambda: seen) and [str(error) for error in rig.errors] == ["one"]
+
+
+def test_a_wait_ends_with_events_or_time_or_what_it_was_handed():
+    rig, got = Rig(), []
+    conn, theirs = rig.pair()
+
+    def waits():
+        got.append((yield (conn.fd, READ, rig.loop.now() + 1000)))
+        theirs.send(b"x")
+        got.append((yield (conn.fd, READ, None)))
+        rig.loop.wake(task, "news")
+        rig.loop.wake(task, "more")
+        got.append((yield (-1, 0, None)))
+        got.append((yield (-1, 0, None)))
+
+    task = rig.loop.spawn(waits())
+    rig.turn(lambda: task.ended)
+    assert got == [0, READ, "news", "more"]
+
+
+def test_a_cancelled_coroutine_gives_back_what_it_held():
+    rig = Rig()
+    conn, _ = rig.pair()
+
+    def holds():
+        try:
+            yield (conn.fd, READ, None)
+        finally:
+            conn.close()
+
+    task = rig.loop.spawn(holds())
+    rig.loop.once(0)
+    rig.loop.cancel(task)
+    assert rig.budget.used["clients"] == 0 and conn.fd == -1
+
+
+@pytest.mark.parametrize(("closes", "taken"), [
+    ([True, True], ["first"]), ([False, True], ["first", "second"])])
+def test_the_longest_idle_goes_first_and_one_that_may_not_is_passed_over(closes, taken):
+    rig, asked = Rig(), []
+    for name, does in zip(("first", "second"), closes, strict=True):
+        rig.budget.rest("workers", name, lambda name=name, does=does: asked.append(name) or does)
+    rig.budget.evict("workers")
+    assert asked == taken
+
+
+def test_nothing_is_opened_beyond_the_budget_while_all_is_busy():
+    budget = Rig(sockets=0).budget
+    assert [budget.take("clients") for _ in range(5)] == [True] * 3 + [False] * 2
+
+
+def test_a_sender_knows_what_was_not_written():
+    rig, ends = Rig(), []
+    conn, _ = rig.pair()
+
+    def sends():
+        try:
+            yield from conn.send(bytes(8_000_000), rig.loop.now() + 1000)
+        except TimedOut:
+            ends.append(conn.left)
+
+    rig.loop.spawn(sends())
+    assert rig.turn(lambda: ends) and 0 < ends[0] < 8_000_000
+
+
+def test_running_out_of_descriptors_at_the_door_asks_for_a_pause():
+    class Full:
+        def accept(self):
+            raise OSError(24, "too many open files")
+
+    assert accept(Full(), Rig().budget) == (None, True)
+
+
+def test_nobody_at_the_door_is_no_reason_to_pause():
+    sock = listen(("127.0.0.1", 0))
+    assert accept(sock, Rig().budget) == (None, False)
--- /dev/null
+++ b/tests/test_workers.py
@@ -0,0 +1,213 @@
+"""Launches on workers, and the list of them."""
+
+import orjson
+import pytest
+from helpers import Rig, peer_at, workers
+
+from mastledge.protocol.clients import Exchange
+from mastledge.protocol.discovery import BadList, Discovery
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+OPEN = object()
+
+
+class Launch:
+    name, sent = "9b1f", False
+
+
+def line(state, job_id="9b1f", **more):
+    raw = orjson.dumps({"id": job_id, "from": "s-1", "state": state, **more}) + b"\n"
+    return b"%x\r\n%s\r\n" % (len(raw), raw)
+
+
+def plain(status, extra=b""):
+    return b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n%s\r\n" % (status, extra)
+
+
+def exchange(body=b"x"):
+    made = Exchange(None)
+    made.method, made.target, made.headers, made.body = b"POST", b"/render?a=1", [(b"x-txn", b"9b1f")], body
+    return made
+
+
+def launched(rig, made, peer, patience=500_000, body=b"x"):
+    launch = Launch()
+    rig.loop.spawn(made.launch(peer, launch, exchange(body), rig.loop.now() + patience))
+    return launch
+
+
+def outcome(rig):
+    assert rig.turn(lambda: any(item[0] == "ended" for item in rig.inbox.items))
+    return [item[2:] for item in rig.inbox.items if item[0] == "ended"][0]
+
+
+@pytest.mark.parametrize(("answer", "how", "kept"), [
+    (CHUNKED + line("started") + line("running", share=0.5) + line("done", result="r") + b"0\r\n\r\n",
+     "completed", True),
+    (CHUNKED + line("failed") + b"0\r\n\r\n", "error", True),
+    (CHUNKED + line("returned") + b"0\r\n\r\n", "full", True),
+    (CHUNKED + line("lost") + b"0\r\n\r\n", "lost", False),
+    (CHUNKED + line("started") + b"0\r\n\r\n", "lost", False),
+    (CHUNKED + line("started"), "lost", False),
+    (b"", "lost", False),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Enc", "lost", False),
+    (b"no HTTP at all\r\n\r\n", "lost", False),
+    (plain(500), "error", True),
+    (plain(503, b"X-Turned-Away: 1\r\n"), "full", True),
+    (plain(504, b"X-Turned-Away: 1\r\n"), "full", True),
+    (plain(503), "error", True),
+    (plain(400), "error", True),
+    (CHUNKED + b"3\r\n{]\n\r\n", "error", False),
+    (CHUNKED + b"4\r\n[1]\n\r\n", "error", False),
+    (CHUNKED + line("done", "other", result="r"), "error", False),
+    (CHUNKED + line("done"), "error", False),
+    (CHUNKED + line("dreaming"), "error", False),
+    (CHUNKED + line("started") + b"zz\r\n", "lost", False),
+    (OPEN, "timeout", False),
+], ids=range(21))
+def test_each_end_of_a_launch_is_told_once(answer, how, kept):
+    rig = Rig()
+    peer, sock = peer_at()
+    launched(rig, workers(rig), peer, 100_000 if answer is OPEN else 500_000)
+    rig.turn(lambda: False, 10_000)
+    theirs, _ = sock.accept()
+    assert theirs.recv(65536).startswith(b"POST /render?a=1 HTTP/1.1\r\n")
+    if answer is not OPEN:
+        theirs.sendall(answer)
+        if not kept:
+            theirs.close()
+    assert outcome(rig)[0] == how
+    rig.turn(lambda: False, 10_000)
+    assert [item[0] for item in rig.inbox.items].count("ended") == 1
+    assert len(peer.idle) == kept == rig.budget.used["workers"] and not rig.errors
+
+
+def test_a_refused_connection_is_unreachable():
+    rig = Rig()
+    peer, sock = peer_at()
+    sock.close()
+    launch = launched(rig, workers(rig), peer)
+    assert outcome(rig)[0] == "unreachable" and not launch.sent and rig.budget.used["workers"] == 0
+
+
+def test_a_request_not_wholly_written_never_ran():
+    rig = Rig()
+    peer, sock = peer_at()
+    launch = launched(rig, workers(rig), peer, body=bytes(8_000_000))
+    rig.turn(lambda: False, 10_000)
+    sock.accept()[0].close()
+    assert outcome(rig)[0] == "unreachable" and not launch.sent
+
+
+@pytest.mark.parametrize("how", ["no socket", "no time"])
+def test_what_says_nothing_of_the_worker_is_unsent(how):
+    # Without descriptors or time left no worker must be taken for dead.
+    rig = Rig(sockets=0)
+    peer, _ = peer_at()
+    while how == "no socket" and rig.budget.take("workers"):
+        pass
+    launched(rig, workers(rig), peer, 500_000 if how == "no socket" else 1_000, bytes(8_000_000))
+    assert outcome(rig)[0] == "unsent"
+
+
+def idle(rig, made, peer, sock):
+    launched(rig, made, peer)
+    rig.turn(lambda: False, 10_000)
+    theirs, _ = sock.accept()
+    theirs.recv(65536)
+    theirs.sendall(plain(500))
+    assert rig.turn(lambda: peer.idle)
+    rig.inbox.items.clear()
+    return theirs
+
+
+def test_an_idle_connection_carries_the_next_launch():
+    rig = Rig()
+    peer, sock = peer_at()
+    made = workers(rig)
+    theirs = idle(rig, made, peer, sock)
+    launched(rig, made, peer)
+    rig.turn(lambda: False, 10_000)
+    theirs.sendall(plain(500))
+    assert outcome(rig)[0] == "error" and rig.budget.used["workers"] == 1
+
+
+@pytest.mark.parametrize("why", ["closed by the worker", "said something", "old", "hung up", "evicted"])
+def test_an_idle_connection_that_may_not_last_is_given_up(why):
+    rig = Rig()
+    peer, sock = peer_at()
+    made = workers(rig)
+    made.keep = 20_000 if why == "old" else made.keep
+    theirs = idle(rig, made, peer, sock)
+    if why == "closed by the worker":
+        theirs.close()
+    elif why == "said something":
+        theirs.sendall(b"x")
+    elif why == "hung up":
+        made.hang_up(peer)
+    elif why == "evicted":
+        rig.budget.evict("workers")
+    assert rig.turn(lambda: not peer.idle) and rig.budget.used["workers"] == 0
+    assert not rig.budget.idle["workers"] and not rig.errors
+
+
+def discovery(rig, address=("127.0.0.1", 1)):
+    words = {"zones": ["z"], "kinds": ["k"], "unix_now": rig.loop.now() + 5_000_000_000}
+    return Discovery(rig.loop, rig.budget, rig.inbox, address, words, rig.log)
+
+
+def told(generation=3, reset=False, **changed):
+    one = {"instanceId": "s-1", "hostPort": "10.1.0.18:7070", "zone": "z", "machineType": "k", "cell": 2,
+           "lifecycle": "ready", "weight": 1.5, "startedAtMs": 0, **changed}
+    return {"generation": generation, "reset": reset, "instances": [one]}
+
+
+@pytest.mark.parametrize(("zone", "kind", "started", "says"), [
+    ("z", "k", 0, (0, 0, 0)), ("new", "k", 0, (1, 0, 0)), ("z", "new", 5_001_000, (0, 1, 1_000_000))])
+def test_an_entry_becomes_plain_values(zone, kind, started, says):
+    rig = Rig()
+    made = discovery(rig)
+    made.since = 5_000_000_000
+    entry = made.entry(told(zone=zone, machineType=kind, startedAtMs=started)["instances"][0])
+    assert entry == ("s-1", ("10.1.0.18", 7070), says[0], "ready", says[2], says[1], 2, 1.5)
+
+
+@pytest.mark.parametrize("changed", [
+    {"hostPort": "nowhere"}, {"lifecycle": "odd"}, {"cell": None}, {"instanceId": 4}, {"startedAtMs": "x"},
+    {"zone": []}])
+@pytest.mark.parametrize("whole", [None, "whole"])
+def test_a_bad_entry_spoils_a_change_but_not_a_whole_list(changed, whole):
+    rig = Rig()
+    made, list_ = discovery(rig), told(**changed)
+    list_["instances"].append(told(instanceId="s-2")["instances"][0])
+    if whole is None:
+        with pytest.raises(BadList):
+            made.apply(list_)
+        assert not rig.inbox.items and made.generation is None
+    else:
+        made.apply(list_, whole)
+        assert [entry[0] for entry in rig.inbox.items[0][2]] == ["s-2"]
+
+
+@pytest.mark.parametrize(("answers", "kinds", "asks"), [
+    ([CHUNKED + b"1\r\n\n\r\n"], ["changes"], [b"follow=1&since=7"]),
+    ([CHUNKED + b"5\r\n{bad\n\r\n", plain(200)], ["changes", "failed"],
+     [b"since=7", b"instances HTTP"]),
+    ([plain(500), CHUNKED], ["failed", "changes"], [b"follow=1&since=7", b"follow=1&since=7"]),
+    ([b"", CHUNKED], ["failed", "changes"], [b"follow=1&since=7", b"follow=1&since=7"]),
+], ids=["empty line", "bad line", "refused", "broken"])
+def test_the_watch_is_taken_up_again_where_it_broke(answers, kinds, asks):
+    rig = Rig()
+    peer, sock = peer_at()
+    made = discovery(rig, peer.address)
+    made.generation = 7
+    made.follow()
+    for answer, ask in zip(answers, asks, strict=True):
+        rig.turn(lambda: False, 150_000)
+        theirs, _ = sock.accept()
+        assert ask in theirs.recv(65536)
+        theirs.sendall(answer)
+        if answer != CHUNKED:
+            theirs.close()
+    rig.turn(lambda: len([item for item in rig.inbox.items if item[1] in kinds]) >= len(kinds), 500_000)
+    assert [item[1] for item in rig.inbox.items][:len(kinds)] == kinds
