--- a/mastledge/program/phases.py
+++ b/mastledge/program/phases.py
@@ -1,5 +1,6 @@
 """The dispatcher from start to exit: one object, and the phases it goes through."""
 
+import errno
 import os
 import signal
 import time
@@ -21,6 +22,7 @@
 LONGEST = 3_000_000  # of the walltime that the end waits for
 LAST = 500_000  # and this much more, inside the 0.7 s after which the program is ended from outside
 LOOK = 20_000
+TRIES = 100
 
 
 class Program:
@@ -59,13 +61,25 @@
         signal.set_wakeup_fd(pipe[1], warn_on_full_buffer=False)
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self.signal)
-        self.sock = listen(self.told["listen"])
+        self.sock = self.listening()
         self.loop.spawn(self.signals(pipe[0]))
         self.inbox.reader = self.loop.spawn(self.router.run())
         self.life = self.loop.spawn(self.phases())
         self.loop.run()
         return 0
 
+    def listening(self):
+        """The address may still be held by the process before, which is ending."""
+        for _ in range(TRIES):
+            try:
+                return listen(self.told["listen"])
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE:
+                    raise
+                self.log("address_in_use", address=self.told["listen"])
+                time.sleep(LOOK / 1e6)
+        return listen(self.told["listen"])
+
     def signal(self, number, frame):
         self.signalled = True
 
--- a/mastledge/protocol/clients.py
+++ b/mastledge/protocol/clients.py
@@ -1,7 +1,6 @@
 """Clients: takes their jobs, holds the connection until the answer, notices when they leave."""
 
 import h11
-import orjson
 
 from mastledge.protocol import http
 from mastledge.transport.connection import Connection, TimedOut, accept
@@ -94,14 +93,14 @@
             sock.close()
             self.budget.give("clients")
             raise
-        task = self.loop.spawn(self.serve(conn, beyond))
-        self.clients.add((conn, task))
+        conn.owner = self.loop.spawn(self.serve(conn, beyond))
+        self.clients.add(conn)
 
-    def close_idle(self, conn, task):
+    def close_idle(self, conn):
         """Closes it unless a request is under way, which a client would have to send again."""
         if not conn.quiet():
             return False
-        self.loop.cancel(task)
+        self.loop.cancel(conn.owner)
         return True
 
     def close_all_idle(self):
@@ -110,18 +109,16 @@
 
     def serve(self, conn, beyond):
         loop = self.loop
-        # The task is known once it first runs: welcome() has noted it by then.
-        task = next(task for known, task in self.clients if known is conn)
         try:
             while True:
-                self.budget.rest("clients", conn, lambda: self.close_idle(conn, task))
+                self.budget.rest("clients", conn, lambda: self.close_idle(conn))
                 if conn.http.trailing_data == (b"", False):
                     if not (yield (conn.fd, READ, loop.now() + IDLE)):
                         if conn.quiet():
                             return
                 self.budget.busy("clients", conn)
                 try:
-                    reply = yield from self.one(conn, task, beyond)
+                    reply = yield from self.one(conn, beyond)
                 except Refused as refused:
                     self.log("bad_request", status=refused.status, why=refused.why)
                     reply = refused.status, [], refused.why.encode()
@@ -147,7 +144,7 @@
             return
         finally:
             self.budget.busy("clients", conn)
-            self.clients.discard((conn, task))
+            self.clients.discard(conn)
             conn.close()
 
     def linger(self, conn):
@@ -159,7 +156,7 @@
                 return
             left -= len(part)
 
-    def one(self, conn, task, beyond):
+    def one(self, conn, beyond):
         """One request: its answer, or None where the client has gone."""
         until = self.loop.now() + SLOW
         try:
@@ -185,10 +182,11 @@
             raise Refused(404, "no such path")
         if head.method != b"POST":
             raise Refused(405, "jobs come by POST")
-        exchange = self.exchange(task, head, content)
+        exchange = self.exchange(conn, head, content)
         arrived = self.arrived(exchange, head, queue_type)
         if beyond or self.in_hand >= self.words["most_held"]:
             # Nothing of it was sent anywhere, so trying again is harmless.
+            self.log("no_room", job=exchange.name, clients=len(self.clients))
             return REJECTED, [], b""
         self.in_hand += 1
         try:
@@ -210,9 +208,9 @@
         self.log("late", job=exchange.job)
         return KILLED, [], b""
 
-    def exchange(self, task, head, content):
+    def exchange(self, conn, head, content):
         exchange = Exchange(self)
-        exchange.task, exchange.method, exchange.target = task, head.method, head.target
+        exchange.task, exchange.method, exchange.target = conn.owner, head.method, head.target
         exchange.body = content
         exchange.headers = [(name, value) for name, value in head.headers
                             if name not in http.DROPPED and name != b"x-remaining-ms"]
@@ -252,11 +250,3 @@
         if name == b"user":
             return value
     return 0
-
-
-def loads(raw):
-    """One JSON object; ValueError for anything else."""
-    got = orjson.loads(raw)
-    if not isinstance(got, dict):
-        raise ValueError(f"no object: {raw[:80]!r}")
-    return got
--- a/mastledge/protocol/discovery.py
+++ b/mastledge/protocol/discovery.py
@@ -3,7 +3,6 @@
 import h11
 
 from mastledge.protocol import http
-from mastledge.protocol.clients import loads
 from mastledge.transport.connection import NoSocket, TimedOut, address_of, connect
 from mastledge.transport.loop import Loop
 
@@ -108,7 +107,7 @@
 
     def read(self, line):
         try:
-            return loads(line)
+            return http.loads(line)
         except ValueError as error:
             raise BadList(str(error)) from None
 
--- a/mastledge/protocol/http.py
+++ b/mastledge/protocol/http.py
@@ -1,6 +1,7 @@
 """h11 on a connection: events in, bytes out."""
 
 import h11
+import orjson
 
 MOST_BODY = 64 * 1024
 MOST_HEAD = 32 * 1024
@@ -84,3 +85,11 @@
         parser.start_next_cycle()
         return True
     return False
+
+
+def loads(raw):
+    """One JSON object; ValueError for anything else."""
+    got = orjson.loads(raw)
+    if not isinstance(got, dict):
+        raise ValueError(f"no object: {raw[:80]!r}")
+    return got
--- a/mastledge/protocol/workers.py
+++ b/mastledge/protocol/workers.py
@@ -3,7 +3,6 @@
 import h11
 
 from mastledge.protocol import http
-from mastledge.protocol.clients import loads
 from mastledge.transport.connection import NoSocket, TimedOut, connect
 from mastledge.transport.loop import READ
 
@@ -79,45 +78,23 @@
     # Launches
 
     def launch(self, peer, launch, exchange, until):
-        """Runs one launch and tells `started`, `progress` and, once, `ended` of it."""
-        loop, inbox = self.loop, self.inbox
-        conn, fresh = None, False
+        """Runs a launch, of which it uses `name` and `sent`; tells `started`, `progress` and one `ended`."""
+        conn = result = None
+        report = ()
         try:
-            try:
-                conn = self.taken(peer)
-                if conn is None:
-                    fresh = True
-                    conn = yield from connect(loop, self.budget, "workers", peer.address,
-                                              min(until, loop.now() + self.connect_timeout))
-                    http.attach(conn, h11.CLIENT)
-                left = max(1, (until - loop.now()) // 1000)
-                yield from conn.send(http.request(conn, exchange.method, exchange.target, [
-                    (b"host", b"%s:%d" % (peer.address[0].encode(), peer.address[1])), *exchange.headers,
-                    (b"x-remaining-ms", b"%d" % left),
-                    (b"content-length", b"%d" % len(exchange.body))], exchange.body), until)
-                launch.sent = True
-            except NoSocket:
-                self.log("out_of_descriptors", worker=peer.id)
-                inbox.put("ended", launch, "unsent", None, ())
-                return
-            except (OSError, TimedOut) as error:
-                # Not all of it was written, so it cannot have run. That a connection which stood idle
-                # breaks, or that the job's time was too short to connect, says nothing of the worker.
-                self.log("not_sent", worker=peer.id, why=str(error) or "timed out")
-                how = "unreachable" if fresh and loop.now() < until else "unsent"
-                inbox.put("ended", launch, how, None, ())
-                return
-            try:
-                how, result, report = yield from self.outcome(conn, launch, until)
-            except TimedOut:
-                how, result, report = "timeout", None, ()
-            except (OSError, h11.RemoteProtocolError) as error:
-                self.log("broken", worker=peer.id, why=str(error) or type(error).__name__)
-                how, result, report = "lost", None, ()
-            except (ValueError, http.TooLarge) as error:
-                self.log("malformed", worker=peer.id, why=str(error))
-                how, result, report = "error", None, ()
-            inbox.put("ended", launch, how, result, report)
+            conn, how = yield from self.sent(peer, launch, exchange, until)
+            if conn is not None:
+                try:
+                    how, result, report = yield from self.outcome(conn, launch, until)
+                except TimedOut:
+                    how = "timeout"
+                except (OSError, h11.RemoteProtocolError) as error:
+                    self.log("broken", worker=peer.id, why=str(error) or type(error).__name__)
+                    how = "lost"
+                except (ValueError, http.TooLarge) as error:
+                    self.log("malformed", worker=peer.id, why=str(error))
+                    how = "error"
+            self.inbox.put("ended", launch, how, result, report)
             if how in ("completed", "error", "full") and (yield from self.ended_well(conn)):
                 kept, conn = conn, None
                 self.kept(peer, kept)
@@ -125,6 +102,38 @@
             if conn is not None:
                 conn.close()
 
+    def sent(self, peer, launch, exchange, until):
+        """The connection on which the whole request was written, or None and how the launch ended."""
+        loop, conn, done = self.loop, self.taken(peer), False
+        fresh = conn is None
+        try:
+            if fresh:
+                before = min(until, loop.now() + self.connect_timeout)
+                conn = yield from connect(loop, self.budget, "workers", peer.address, before)
+                http.attach(conn, h11.CLIENT)
+            left = max(1, (until - loop.now()) // 1000)
+            headers = [(b"host", b"%s:%d" % (peer.address[0].encode(), peer.address[1])), *exchange.headers,
+                       (b"x-remaining-ms", b"%d" % left), (b"content-length", b"%d" % len(exchange.body))]
+            content = http.request(conn, exchange.method, exchange.target, headers, exchange.body)
+            yield from conn.send(content, until)
+            launch.sent = done = True
+            return conn, None
+        except NoSocket:
+            self.log("out_of_descriptors", worker=peer.id)
+            return None, "unsent"
+        except (OSError, TimedOut) as error:
+            # Not all of it was written, so it cannot have run. That a connection which stood idle breaks,
+            # or that the job's time was too short to connect, says nothing of the worker.
+            self.log("not_sent", worker=peer.id, why=str(error) or "timed out")
+            if not fresh or loop.now() >= until:
+                return None, "unsent"
+            # What stands idle to a machine that takes no connection would only swallow the next launch.
+            self.hang_up(peer)
+            return None, "unreachable"
+        finally:
+            if conn is not None and not done:
+                conn.close()
+
     def ended_well(self, conn):
         try:
             until = self.loop.now() + TAIL
@@ -152,7 +161,7 @@
                 return "lost", None, report
             if not line.strip():
                 continue
-            told = loads(line)
+            told = http.loads(line)
             state = told.get("state")
             if told.get("id") != job_id:
                 raise ValueError(f"news of another job: {line[:80]!r}")
@@ -203,7 +212,7 @@
                 raise h11.RemoteProtocolError("ended before an answer")
             content = yield from http.body(conn, until)
             how = "completed" if head.status_code == 200 else "error"
-            report = self.ordered(loads(content)) if content else ()
+            report = self.ordered(http.loads(content)) if content else ()
         except (OSError, TimedOut, NoSocket):
             pass
         except (ValueError, http.TooLarge, h11.RemoteProtocolError) as error:
--- a/mastledge/routing/router.py
+++ b/mastledge/routing/router.py
@@ -127,7 +127,16 @@
         job.launches.append(launch)
         job.out += 1
         until = min(job.exchange.until, now + allowance) if allowance else job.exchange.until
-        launch.task = self.loop.spawn(self.workers.launch(peer, launch, job.exchange, until))
+        launch.task = self.loop.spawn(self.carried_out(launch, until))
+
+    def carried_out(self, launch, until):
+        try:
+            yield from self.workers.launch(launch.peer, launch, launch.job.exchange, until)
+        except Exception as error:
+            # Whatever went wrong here, the decisions have to hear of one end of each launch.
+            self.faults += 1
+            self.log("fault", call="launch", why=f"{type(error).__name__}: {error}")
+            self.inbox.put("ended", launch, "error" if launch.sent else "unsent", None, ())
 
     def do_reject(self, now, job_id, hold_off):
         job = self.jobs[job_id]
--- a/mastledge/transport/budget.py
+++ b/mastledge/transport/budget.py
@@ -1,17 +1,18 @@
 """Descriptors shared out over clients, workers and discovery; idle connections give way first."""
 
-SPARE = 24  # standard streams, epoll, wake-up, listener, discovery, and a few to answer with when all is full
+SPARE = 16  # standard streams, epoll, wake-up, listener, and a few to answer with when all is full
 
 
 class Budget:
     def __init__(self, sockets):
         total = max(8, sockets - SPARE)
-        # A client in hand needs a worker's connection, so workers get the larger part.
-        self.most = {"clients": total * 9 // 20, "workers": total - total * 9 // 20, "discovery": 4}
+        # A client in hand needs a worker's connection, and some of those are still ending their last answer.
+        clients = total * 12 // 25
+        self.most = {"clients": clients, "workers": total - clients, "discovery": 2}
         self.used = dict.fromkeys(self.most, 0)
         self.idle = {kind: {} for kind in self.most}
 
-    def beyond(self, kind, spare=SPARE // 2):
+    def beyond(self, kind, spare=SPARE // 4):
         """Whether even the few that are answered although the budget is used up are too many."""
         return self.used[kind] >= self.most[kind] + spare and not self.evict(kind)
 
--- a/mastledge/transport/connection.py
+++ b/mastledge/transport/connection.py
@@ -24,7 +24,7 @@
         """Takes over a socket for which the budget has been asked."""
         self.loop, self.sock, self.fd = loop, sock, sock.fileno()
         self.budget, self.kind, self.buffer, self.left = budget, kind, Buffer(), 0
-        self.http = self.owner = None
+        self.http = self.owner = None  # the parser and the holder, for the layers above
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
@@ -117,9 +117,13 @@
 def listen(address, backlog=1024):
     sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.setblocking(False)
-    sock.bind(address)
-    sock.listen(backlog)
+    try:
+        sock.setblocking(False)
+        sock.bind(address)
+        sock.listen(backlog)
+    except OSError:
+        sock.close()
+        raise
     return sock
 
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -91,8 +91,8 @@
 def client(rig, made, beyond=False):
     """A client's socket, served by this door."""
     conn, theirs = rig.pair()
-    task = rig.loop.spawn(made.serve(conn, beyond))
-    made.clients.add((conn, task))
+    conn.owner = rig.loop.spawn(made.serve(conn, beyond))
+    made.clients.add(conn)
     return theirs
 
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -115,8 +115,8 @@
     theirs = client(rig, made)
     rig.loop.once(0)
     theirs.sendall(unread)
-    ((conn, task),) = made.clients
-    assert made.close_idle(conn, task) == (not unread)
+    (conn,) = made.clients
+    assert made.close_idle(conn) == (not unread)
 
 
 def test_requests_sent_one_behind_the_other_are_answered_in_order():
