Ready only after news of discovery; faults of the event loop and the log stay where they arise

Found by reading on, and by a probe with a discovery that sends a bad line, a bad entry, then nothing: - A restarted dispatcher was ready from its last list alone; it now waits for discovery's first answer, 0.25 s at the most. - A descriptor that epoll will not watch, or a text that JSON cannot hold, would have ended the program. - A worker's last line without its end of line made a lost launch look silent until the walltime. - Answers that only announce another (1xx) ended a launch as lost. - If the task of the decisions or of the phases dies, the program exits with 1 instead of seeming to serve.

--- a/mastledge/program/logs.py
+++ b/mastledge/program/logs.py
@@ -23,7 +23,12 @@
         line = {"at": time.time_ns() // 1_000_000, "name": self.name, "event": event, **fields}
         if self.lost:
             line["lost"] = self.lost
-        raw = orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE)
+        try:
+            raw = orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE)
+        except TypeError as error:
+            # A line that cannot be written must not cost what it tells of.
+            raw = orjson.dumps({"event": "unwritable", "of": event, "why": ascii(error)},
+                               option=orjson.OPT_APPEND_NEWLINE)
         if len(raw) > MOST:
             short = {"at": line["at"], "name": self.name, "event": event, "cut": len(raw)}
             raw = orjson.dumps(short, option=orjson.OPT_APPEND_NEWLINE)
--- a/mastledge/program/phases.py
+++ b/mastledge/program/phases.py
@@ -2,6 +2,7 @@
 
 import errno
 import os
+import resource
 import signal
 import time
 
@@ -23,6 +24,16 @@
 LAST = 500_000  # and this much more, inside the 0.7 s after which the program is ended from outside
 LOOK = 20_000
 TRIES = 100
+FIRST_NEWS = 250_000  # what discovery is waited for where workers are known already
+
+
+def descriptors(wanted):
+    """As many as the program is told, as far as the system lets it have them."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft != resource.RLIM_INFINITY and soft < wanted:
+        soft = wanted if hard == resource.RLIM_INFINITY else min(wanted, hard)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+    return wanted if soft == resource.RLIM_INFINITY else min(wanted, soft)
 
 
 class Program:
@@ -30,7 +41,7 @@
         self.told, self.log, self.phase = told, log, STARTING
         self.loop = loop = Loop(self.fault)
         settings = told["settings"]
-        self.budget = Budget(told["sockets"])
+        self.budget = Budget(descriptors(told["sockets"]))
         self.inbox = inbox = Queue(loop)
         words = {"queue_types": [dict(qt) for qt in settings["queue_types"]],
                  "tenants": [tenant["name"] for tenant in settings["tenants"]],
@@ -63,10 +74,18 @@
             signal.signal(number, self.signal)
         self.sock = self.listening()
         self.loop.spawn(self.signals(pipe[0]))
-        self.inbox.reader = self.loop.spawn(self.router.run())
-        self.life = self.loop.spawn(self.phases())
+        self.inbox.reader = self.loop.spawn(self.vital(self.router.run()))
+        self.life = self.loop.spawn(self.vital(self.phases()))
         self.loop.run()
-        return 0
+        return 0 if self.phase == ENDED else 1
+
+    def vital(self, steps):
+        """Without these the program only seems to serve; it is better started anew."""
+        try:
+            yield from steps
+        except Exception as error:
+            self.fault(error)
+            self.loop.running = False
 
     def listening(self):
         """The address may still be held by the process before, which is ending."""
@@ -89,6 +108,11 @@
             os.read(fd, 64)
             self.loop.wake(self.life)
 
+    def can_serve(self, impatient):
+        """A worker is known, and the list is no older than it has to be: the one kept may be of long ago."""
+        heard = impatient or self.discovery.task is None or self.discovery.answered
+        return heard and any(peer.state == "ready" for peer in self.router.peers.values())
+
     def phases(self):
         loop, door, router = self.loop, self.door, self.router
         try:
@@ -100,7 +124,8 @@
             self.discovery.follow()
         listening = loop.spawn(door.listen(self.sock))
         self.go(WAITING)
-        while not self.signalled and not any(p.state == "ready" for p in router.peers.values()):
+        patient = loop.now() + FIRST_NEWS
+        while not self.signalled and not self.can_serve(loop.now() >= patient):
             yield (-1, 0, loop.now() + LOOK // 10)
         if not self.signalled:
             door.ready = True
--- a/mastledge/protocol/clients.py
+++ b/mastledge/protocol/clients.py
@@ -4,7 +4,7 @@
 
 from mastledge.protocol import http
 from mastledge.transport.connection import Connection, TimedOut, accept
-from mastledge.transport.loop import GONE, READ
+from mastledge.transport.loop import ENDED, GONE, READ
 
 SLOW = 30_000_000  # a request that has begun must be whole by then
 IDLE = 120_000_000
@@ -199,11 +199,13 @@
                 self.inbox.put("abandoned", exchange)
 
     def outcome(self, conn, exchange):
-        got = yield (conn.fd, GONE, exchange.until)
-        if isinstance(got, tuple):
-            return got
-        if got:
-            return None
+        got = READ
+        while got:
+            got = yield (conn.fd, GONE, exchange.until)
+            if isinstance(got, tuple):
+                return got
+            if got & ENDED:
+                return None
         # The decisions end each job before this; should they fail at it, the client still gets its answer.
         self.log("late", job=exchange.job)
         return KILLED, [], b""
--- a/mastledge/protocol/discovery.py
+++ b/mastledge/protocol/discovery.py
@@ -25,6 +25,7 @@
         self.kinds = {name: n for n, name in enumerate(words["kinds"])}
         self.since = words["unix_now"] - Loop.now()
         self.generation, self.task, self.trouble = None, None, None
+        self.answered = False
 
     def entry(self, one):
         """A worker of a list as (id, address, zone, state, start, kind, cell, units)."""
@@ -97,9 +98,9 @@
             http.attach(conn, h11.CLIENT)
             host = (b"host", b"%s:%d" % (self.address[0].encode(), self.address[1]))
             yield from conn.send(http.request(conn, b"GET", target, [host]), until)
-            head = yield from http.event(conn, until)
-            if not isinstance(head, h11.Response) or head.status_code != 200:
-                raise h11.RemoteProtocolError(f"answered {getattr(head, 'status_code', 'nothing')}")
+            head = yield from http.head(conn, until)
+            if head.status_code != 200:
+                raise h11.RemoteProtocolError(f"answered {head.status_code}")
             return conn
         except BaseException:
             conn.close()
@@ -126,7 +127,7 @@
             yield from self.whole()
         conn = yield from self.asked(b"/registry/instances?follow=1&since=%d" % self.generation)
         try:
-            self.trouble = None
+            self.trouble, self.answered = None, True
             self.log("discovery_followed", generation=self.generation)
             # That it answers is news as well: it ends a failure.
             self.inbox.put("members", "changes", ())
--- a/mastledge/protocol/http.py
+++ b/mastledge/protocol/http.py
@@ -53,13 +53,23 @@
         line = conn.buffer.line()
         if line is not None:
             return line
+        if conn.http.their_state is not h11.SEND_BODY:
+            return conn.buffer.take() or None
         if len(conn.buffer) > most:
             raise TooLarge
         got = yield from event(conn, until)
         if isinstance(got, h11.Data):
             conn.buffer.keep(got.data)
-        else:
-            return conn.buffer.take() or None
+
+
+def head(conn, until):
+    """The head of an answer, past what only says that one will come."""
+    while True:
+        got = yield from event(conn, until)
+        if isinstance(got, h11.Response):
+            return got
+        if not isinstance(got, h11.InformationalResponse):
+            raise h11.RemoteProtocolError("ended before an answer")
 
 
 def request(conn, method, target, headers, content=b""):
--- a/mastledge/protocol/workers.py
+++ b/mastledge/protocol/workers.py
@@ -146,9 +146,7 @@
 
     def outcome(self, conn, launch, until):
         """How the launch ended, its result and the load report that came with it."""
-        head = yield from http.event(conn, until)
-        if not isinstance(head, h11.Response):
-            raise h11.RemoteProtocolError("ended before an answer")
+        head = yield from http.head(conn, until)
         fields = dict(head.headers)
         report = self.report(fields.get(b"x-pressure", b""))
         if head.status_code != 200:
@@ -207,9 +205,7 @@
             how = "timeout"
             headers = [(b"host", peer.address[0].encode()), (b"connection", b"close")]
             yield from conn.send(http.request(conn, b"GET", b"/stats", headers), until)
-            head = yield from http.event(conn, until)
-            if not isinstance(head, h11.Response):
-                raise h11.RemoteProtocolError("ended before an answer")
+            head = yield from http.head(conn, until)
             content = yield from http.body(conn, until)
             how = "completed" if head.status_code == 200 else "error"
             report = self.ordered(http.loads(content)) if content else ()
--- a/mastledge/transport/loop.py
+++ b/mastledge/transport/loop.py
@@ -10,6 +10,7 @@
 from heapq import heappop, heappush
 
 READ, WRITE, GONE = select.EPOLLIN, select.EPOLLOUT, select.EPOLLRDHUP
+ENDED = GONE | select.EPOLLHUP | select.EPOLLERR
 
 
 class Task:
@@ -81,8 +82,14 @@
             task.fd, self.waiters[fd] = fd, task
             known = self.masks.get(fd)
             if known != mask:
+                try:
+                    (self.epoll.register if known is None else self.epoll.modify)(fd, mask)
+                except OSError as error:
+                    # The kernel watches only so many; the others go on.
+                    self.cancel(task)
+                    self.on_error(error)
+                    return
                 self.masks[fd] = mask
-                (self.epoll.register if known is None else self.epoll.modify)(fd, mask)
         if until is not None:
             self.pushes += 1
             heappush(self.timers, (until, self.pushes, task, task.turn))
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -6,6 +6,7 @@
 import pytest
 from helpers import Rig, balancer, peer_at, queue_type, workers
 
+from mastledge.program.command import main
 from mastledge.program.configuration import BadConfiguration, configuration
 from mastledge.program.logs import Log
 from mastledge.program.phases import FINISHING, LEAVING, NEXT, SERVING, STARTING, WAITING, Program
@@ -169,6 +170,12 @@
     assert lost and orjson.loads(os.read(reads, 65536).splitlines()[-1])["lost"] == lost
 
 
+def test_a_line_that_cannot_be_written_is_told_as_such():
+    reads, writes = os.pipe()
+    Log(writes, "n1")("event", text="\ud800")
+    assert orjson.loads(os.read(reads, 4096))["of"] == "event"
+
+
 @pytest.mark.parametrize(("phase", "to"), [(STARTING, SERVING), (SERVING, FINISHING), (LEAVING, WAITING)])
 def test_phases_follow_their_order(phase, to):
     program = object.__new__(Program)
@@ -176,3 +183,39 @@
     with pytest.raises(RuntimeError):
         program.go(to)
     assert to not in NEXT[phase] and program.phase == phase
+
+
+@pytest.mark.parametrize(("answered", "impatient", "state", "can"), [
+    (True, False, "ready", True), (False, False, "ready", False), (False, True, "ready", True),
+    (True, True, "draining", False)])
+def test_ready_is_who_knows_a_worker_and_asked_for_news(answered, impatient, state, can):
+    rig = Rig()
+    program = object.__new__(Program)
+    program.router, _ = router(rig)
+    next(iter(program.router.peers.values())).state = state
+    program.discovery = type("Told", (), {"task": object(), "answered": answered})
+    assert program.can_serve(impatient) == can
+
+
+@pytest.mark.parametrize("sent", [True, False])
+def test_a_launch_whose_carrying_out_fails_still_ends(sent):
+    rig = Rig()
+    made, _ = router(rig)
+    job, _ = arrived(rig, made)
+    launch = job.launches[0]
+    launch.sent, launch.peer.address = sent, None
+    rig.inbox.items.clear()
+    assert list(made.carried_out(launch, launch.at)) == []
+    assert rig.inbox.items[-1][:3] == ("ended", launch, "error" if sent else "unsent")
+
+
+@pytest.mark.parametrize(("words", "code", "says"), [
+    (["check", "--config", "nowhere.json"], 2, "nowhere.json: No such file"),
+    (["serve", "--config", "nowhere.json"], 2, "nowhere.json: No such file"),
+    (["check"], 2, "no configuration"), (["version"], 0, "mastledge ")])
+def test_the_command_line_says_what_is_wrong_in_one_line(words, code, says, monkeypatch, capsys):
+    monkeypatch.delenv("GW_CONFIG", raising=False)
+    monkeypatch.setattr("sys.argv", ["mastledge", *words])
+    assert main() == code
+    told = "".join(capsys.readouterr())
+    assert says in told and told.count("\n") == 1
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -122,6 +122,20 @@
     assert accept(Full(), Rig().budget) == (None, True)
 
 
+def test_a_wait_that_cannot_be_had_ends_its_coroutine_only():
+    rig, seen = Rig(), []
+
+    def bad():
+        try:
+            yield (10_000, READ, None)
+        finally:
+            seen.append("ended")
+
+    rig.loop.spawn(bad())
+    rig.loop.once(0)
+    assert seen == ["ended"] and len(rig.errors) == 1 and not rig.loop.waiters
+
+
 def test_nobody_at_the_door_is_no_reason_to_pause():
     sock = listen(("127.0.0.1", 0))
     assert accept(sock, Rig().budget) == (None, False)
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -8,6 +8,7 @@
 from mastledge.protocol.discovery import BadList, Discovery
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+STATS = b"HTTP/1.1 200 OK\r\nContent-Length: "
 OPEN = object()
 
 
@@ -49,6 +50,8 @@
     (CHUNKED + line("lost") + b"0\r\n\r\n", "lost", False),
     (CHUNKED + line("started") + b"0\r\n\r\n", "lost", False),
     (CHUNKED + line("started"), "lost", False),
+    (CHUNKED + line("started").replace(b"\n\r\n", b" \r\n") + b"0\r\n\r\n", "lost", None),
+    (b"HTTP/1.1 102 Processing\r\n\r\n" + plain(500), "error", True),
     (b"", "lost", False),
     (b"HTTP/1.1 200 OK\r\nTransfer-Enc", "lost", False),
     (b"no HTTP at all\r\n\r\n", "lost", False),
@@ -64,7 +67,7 @@
     (CHUNKED + line("dreaming"), "error", False),
     (CHUNKED + line("started") + b"zz\r\n", "lost", False),
     (OPEN, "timeout", False),
-], ids=range(21))
+], ids=range(23))
 def test_each_end_of_a_launch_is_told_once(answer, how, kept):
     rig = Rig()
     peer, sock = peer_at()
@@ -74,12 +77,12 @@
     assert theirs.recv(65536).startswith(b"POST /render?a=1 HTTP/1.1\r\n")
     if answer is not OPEN:
         theirs.sendall(answer)
-        if not kept:
+        if kept is False:
             theirs.close()
     assert outcome(rig)[0] == how
     rig.turn(lambda: False, 10_000)
     assert [item[0] for item in rig.inbox.items].count("ended") == 1
-    assert len(peer.idle) == kept == rig.budget.used["workers"] and not rig.errors
+    assert len(peer.idle) == bool(kept) == rig.budget.used["workers"] and not rig.errors
 
 
 def test_a_refused_connection_is_unreachable():
@@ -211,3 +214,34 @@
             theirs.close()
     rig.turn(lambda: len([item for item in rig.inbox.items if item[1] in kinds]) >= len(kinds), 500_000)
     assert [item[1] for item in rig.inbox.items][:len(kinds)] == kinds
+
+
+def test_idle_connections_to_an_unreachable_worker_are_not_kept():
+    rig = Rig()
+    peer, sock = peer_at()
+    made = workers(rig)
+    theirs = idle(rig, made, peer, sock)
+    sock.close()
+    made.taken = lambda peer: None
+    launched(rig, made, peer)
+    assert outcome(rig)[0] == "unreachable" and not peer.idle and theirs.recv(1) == b""
+
+
+@pytest.mark.parametrize(("answer", "says"), [
+    (STATS + b'28\r\n\r\n{"util": 0.5, "inflight": 3', ("timeout", ())),
+    (STATS + b'28\r\n\r\n{"util": 0.5, "inflight": 3}', ("completed", (0.5, 3))),
+    (plain(503), ("error", ())),
+    (STATS + b"1\r\n\r\n{", ("error", ())),
+], ids=["cut", "good", "refused", "no JSON"])
+def test_a_probe_tells_the_load_report(answer, says):
+    rig = Rig()
+    peer, sock = peer_at()
+    made = workers(rig)
+    made.connect_timeout = 20_000
+    rig.loop.spawn(made.probe(peer))
+    rig.turn(lambda: False, 5_000)
+    theirs, _ = sock.accept()
+    theirs.sendall(answer)
+    assert rig.turn(lambda: rig.inbox.items)
+    what, who, how, _, report = rig.inbox.items[0]
+    assert (what, who, how, report) == ("probed", peer, *says)
