--- a/mastledge/protocol/clients.py
+++ b/mastledge/protocol/clients.py
@@ -117,6 +117,7 @@
                         if conn.quiet():
                             return
                 self.budget.busy("clients", conn)
+                self.budget.rest("unfinished", conn, lambda: self.close_idle(conn))
                 try:
                     reply = yield from self.one(conn, beyond)
                 except Refused as refused:
@@ -132,6 +133,7 @@
                     status = 413 if error.error_status_hint == 431 else 400
                     self.log("bad_request", status=status, why=str(error))
                     reply, beyond = (status, [], str(error).encode()), True
+                self.budget.busy("unfinished", conn)
                 if reply is None:
                     return
                 status, headers, content = reply
@@ -144,6 +146,7 @@
             return
         finally:
             self.budget.busy("clients", conn)
+            self.budget.busy("unfinished", conn)
             self.clients.discard(conn)
             conn.close()
 
@@ -169,6 +172,7 @@
             content = yield from http.body(conn, until)
         except TimedOut:
             raise Refused(408, "request not complete in time") from None
+        self.budget.busy("unfinished", conn)
         if head.method == b"HEAD":
             raise Refused(405, "")
         path = head.target.partition(b"?")[0]
--- a/mastledge/transport/budget.py
+++ b/mastledge/transport/budget.py
@@ -1,6 +1,8 @@
 """Descriptors shared out over clients, workers and discovery; idle connections give way first."""
 
 SPARE = 16  # standard streams, epoll, wake-up, listener, and a few to answer with when all is full
+# Who goes for a new one, in this order: a request that never becomes whole must not keep others out for long.
+GIVE_WAY = {"clients": ("clients", "unfinished"), "workers": ("workers",), "discovery": ()}
 
 
 class Budget:
@@ -10,15 +12,15 @@
         clients = total * 12 // 25
         self.most = {"clients": clients, "workers": total - clients, "discovery": 2}
         self.used = dict.fromkeys(self.most, 0)
-        self.idle = {kind: {} for kind in self.most}
+        self.idle = {kind: {} for kind in ("clients", "unfinished", "workers")}
 
     def beyond(self, kind, spare=SPARE // 4):
         """Whether even the few that are answered although the budget is used up are too many."""
-        return self.used[kind] >= self.most[kind] + spare and not self.evict(kind)
+        return self.used[kind] >= self.most[kind] + spare and not self.evict(*GIVE_WAY[kind])
 
     def take(self, kind):
         """Whether one more may be opened; the one of its kind that has been idle longest goes for it."""
-        if self.used[kind] >= self.most[kind] and not self.evict(kind):
+        if self.used[kind] >= self.most[kind] and not self.evict(*GIVE_WAY[kind]):
             return False
         self.used[kind] += 1
         return True
@@ -34,7 +36,7 @@
 
     def evict(self, *kinds):
         """Closes the longest idle connection of these kinds; one that will not close now is passed over."""
-        for kind in kinds or ("workers", "clients"):
+        for kind in kinds:
             for what, close in list(self.idle[kind].items()):
                 if close():
                     self.idle[kind].pop(what, None)
--- a/mastledge/transport/connection.py
+++ b/mastledge/transport/connection.py
@@ -93,7 +93,7 @@
         except OSError as error:
             if error.errno not in FULL:
                 raise
-            budget.evict()
+            budget.evict("workers", "clients", "unfinished")
             raise NoSocket from None
         conn = Connection(loop, sock, budget, kind)
         code = sock.connect_ex(address)
@@ -136,5 +136,5 @@
             return None, False
         except OSError as error:
             # Whatever became of one connection that waited, the next ones must still be taken.
-            if error.errno not in FULL or not budget.evict("clients", "workers"):
+            if error.errno not in FULL or not budget.evict("clients", "workers", "unfinished"):
                 return None, True
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -119,6 +119,19 @@
     assert made.close_idle(conn) == (not unread)
 
 
+@pytest.mark.parametrize(("raw", "goes"), [(b"", True), (job()[:-1], True), (job(), False)],
+                         ids=["idle", "unfinished", "taken"])
+def test_a_client_gives_way_until_its_job_is_taken(raw, goes):
+    # Requests that never become whole could hold all descriptors otherwise.
+    rig = Rig(sockets=0)
+    theirs = client(rig, door(rig))
+    theirs.sendall(raw)
+    rig.turn(lambda: False, 20_000)
+    while rig.budget.used["clients"] < rig.budget.most["clients"]:
+        rig.budget.used["clients"] += 1
+    assert rig.budget.take("clients") == goes and not rig.errors
+
+
 def test_requests_sent_one_behind_the_other_are_answered_in_order():
     rig = Rig()
     theirs = client(rig, door(rig))
