--- a/mastledge/protocol/clients.py
+++ b/mastledge/protocol/clients.py
@@ -23,7 +23,8 @@
 class Exchange:
     """One job's request, to be passed on as it came, and the way back to its client."""
 
-    __slots__ = ("door", "task", "name", "method", "target", "headers", "body", "until", "open", "job")
+    __slots__ = ("door", "task", "name", "kind", "method", "target", "headers", "body", "until", "open",
+                 "job")
 
     def __init__(self, door):
         self.door, self.open, self.job = door, True, None
@@ -240,7 +241,8 @@
         now = self.loop.now()
         patience = fields.get(b"x-remaining-ms")
         patience = qt["walltime"] if patience is None else round(number(patience) * 1000)
-        exchange.until, exchange.name = now + patience, fields[b"x-txn"].decode("latin-1")
+        exchange.until, exchange.kind = now + patience, qt["name"]
+        exchange.name = fields[b"x-txn"].decode("latin-1")
         tenant = self.tenants.get(fields.get(b"x-org", b""), 0)
         width = number(extras.get(b"width", extras.get(b"slots", b"1"))) or 1.0
         memory = number(extras.get(b"ramUnits", extras.get(b"memory", b"0")))
--- a/mastledge/routing/router.py
+++ b/mastledge/routing/router.py
@@ -15,11 +15,11 @@
 class Launch:
     """What a launch is to the host; the decisions name it by its job and its number among that job's."""
 
-    __slots__ = ("job", "n", "peer", "task", "name", "sent", "at", "ended")
+    __slots__ = ("job", "n", "peer", "task", "name", "sent", "at", "began", "ended")
 
     def __init__(self, job, peer, name, now):
         self.job, self.n, self.peer, self.name, self.at = job, len(job.launches), peer, name, now
-        self.task, self.sent, self.ended = None, False, False
+        self.task, self.sent, self.began, self.ended = None, False, None, False
 
 
 class Router:
@@ -87,6 +87,7 @@
             self.balancer.abandoned(now, job.id)
 
     def on_started(self, now, launch):
+        launch.began = now
         self.balancer.started(now, launch.job.id, launch.n)
 
     def on_progress(self, now, launch, share):
@@ -171,8 +172,10 @@
 
     def closed(self, now, job, how):
         self.totals[how] += 1
-        ms = (now - job.began) / 1000
-        self.log("job", job=job.exchange.name, how=how, launches=len(job.launches), ms=ms)
+        last = job.launches[-1] if job.launches else None
+        self.log("job", job=job.exchange.name, type=job.exchange.kind, how=how, ms=(now - job.began) / 1000,
+                 launches=len(job.launches), worker=last and last.peer.id,
+                 waited=last and last.began and (last.began - job.began) / 1000)
         self.forget(job)
 
     def forget(self, job):
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -1,7 +1,11 @@
 """The door: what clients send, and what becomes of it."""
 
+import socket
+
 import pytest
-from helpers import Rig, client, door, job, queue_type
+from helpers import HERE, Rig, client, door, job, queue_type
+
+from mastledge.transport.connection import listen
 
 BIG = b"y" * 70_000
 
@@ -38,7 +42,11 @@
     ({}, (0, 0, 0, 1.0, 0.0, 0, 480_000)),
     ({"X_Estimate": 2500, "Cookie": "a=b; user=k1", "X_Org": "b"}, (0, 2500, b"k1", 1.0, 0.0, 1, 480_000)),
     ({"X_Labels": "width=2, ramUnits=1.5"}, (0, 0, 0, 2.0, 1.5, 0, 480_000)),
+    ({"X_Labels": "slots=4,memory=0.25,other=x"}, (0, 0, 0, 4.0, 0.25, 0, 480_000)),
     ({"X_Remaining_Ms": None}, (0, 0, 0, 1.0, 0.0, 0, 5_000_000)),
+    ({"Expect": "100-continue"}, (0, 0, 0, 1.0, 0.0, 0, 480_000)),
+    ({"Content_Length": None, "Transfer_Encoding": "chunked", "body": b"1\r\nx\r\n0\r\n\r\n"},
+     (0, 0, 0, 1.0, 0.0, 0, 480_000)),
 ])
 def test_a_job_goes_to_the_queue_as_one_call(headers, says):
     rig = Rig()
@@ -137,3 +145,11 @@
     theirs.sendall(b"GET /nothing HTTP/1.1\r\nHost: h\r\n\r\nGET /health/live HTTP/1.1\r\nHost: h\r\n\r\n")
     reply = rig.reply(theirs)
     assert 0 < reply.index(b" 404 ") < reply.index(b" 200 ")
+
+
+@pytest.mark.parametrize("waiting", [0, 3])
+def test_what_the_machine_accepted_is_taken_in_before_the_door_closes(waiting):
+    rig = Rig()
+    made, sock = door(rig), listen((HERE, 0))
+    theirs = [socket.create_connection(sock.getsockname(), 2) for _ in range(waiting)]
+    assert not made.last_call(sock) and len(made.clients) == len(theirs) == rig.budget.used["clients"]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -41,7 +41,8 @@
 def arrived(rig, made, patience=500_000):
     door = Answers(rig)
     exchange = Exchange(door)
-    exchange.task, exchange.name, exchange.until = None, "9b1f", rig.loop.now() + patience
+    exchange.task, exchange.name, exchange.kind = None, "9b1f", "render"
+    exchange.until = rig.loop.now() + patience
     exchange.method, exchange.target, exchange.headers, exchange.body = b"POST", b"/render", [], b""
     made.on_arrived(rig.loop.now(), exchange, 0, 100_000, 0, 1.0, 0.0, 0, patience)
     made.guarded(made.pull, rig.loop.now())
