--- a/mastledge/protocol/clients.py
+++ b/mastledge/protocol/clients.py
@@ -3,6 +3,7 @@
 import h11
 
 from mastledge.protocol import http
+from mastledge.protocol.requests import KILLED, REJECTED, BadRequest, Requests
 from mastledge.transport.connection import Connection, TimedOut, accept
 from mastledge.transport.loop import ENDED, GONE, READ
 
@@ -10,57 +11,14 @@
 IDLE = 120_000_000
 PAUSE = 20_000  # where descriptors are short
 LINGER = 1_000_000  # what is still under way is read, or closing would reset the answer to it
-COMPLETED, REJECTED, KILLED = 200, 503, 500
-
-
-class Refused(Exception):
-    """The request is answered here, with this status."""
-
-    def __init__(self, status, why):
-        self.status, self.why = status, why
-
-
-class Exchange:
-    """One job's request, to be passed on as it came, and the way back to its client."""
-
-    __slots__ = ("door", "task", "name", "kind", "method", "target", "headers", "body", "until", "open",
-                 "job")
-
-    def __init__(self, door):
-        self.door, self.open, self.job = door, True, None
-
-    def completed(self, result):
-        self.finish(COMPLETED, [(b"content-type", b"application/octet-stream")], result)
-
-    def rejected(self, hold_off):
-        self.finish(REJECTED, [(b"retry-after", b"%.3f" % (hold_off / 1e6))] if hold_off else [], b"")
-
-    def killed(self):
-        self.finish(KILLED, [], b"")
-
-    def finish(self, status, headers, content):
-        if self.open:
-            self.open = False
-            self.door.loop.wake(self.task, (status, headers, content))
-
-
-def number(text, least=0.0):
-    try:
-        value = float(text)
-    except ValueError:
-        value = -1.0
-    if not least <= value < 1e12:
-        raise Refused(400, f"no number: {text[:40]!r}")
-    return value
 
 
 class Door:
     """Everything between the listening socket and the queue of the decisions."""
 
     def __init__(self, loop, budget, inbox, words, log):
-        self.loop, self.budget, self.inbox, self.words, self.log = loop, budget, inbox, words, log
-        self.types = {qt["name"].encode(): n for n, qt in enumerate(words["queue_types"])}
-        self.tenants = {name.encode(): n for n, name in enumerate(words["tenants"])}
+        self.loop, self.budget, self.inbox, self.log = loop, budget, inbox, log
+        self.requests, self.most_held = Requests(words), words["most_held"]
         self.clients, self.ready, self.leaving, self.in_hand = set(), False, False, 0
 
     def listen(self, sock):
@@ -121,10 +79,10 @@
                 self.budget.rest("unfinished", conn, lambda: self.close_idle(conn))
                 try:
                     reply = yield from self.one(conn, beyond)
-                except Refused as refused:
-                    self.log("bad_request", status=refused.status, why=refused.why)
-                    reply = refused.status, [], refused.why.encode()
-                    beyond = beyond or refused.status in (400, 408, 413)
+                except BadRequest as bad:
+                    self.log("bad_request", status=bad.status, why=bad.why)
+                    reply = bad.status, [], bad.why.encode()
+                    beyond = beyond or bad.status in (400, 408, 413)
                 except http.TooLarge:
                     self.log("bad_request", status=413, why="body too large")
                     reply, beyond = (413, [], b"body too large"), True
@@ -172,30 +130,25 @@
                     raise http.TooLarge
             content = yield from http.body(conn, until)
         except TimedOut:
-            raise Refused(408, "request not complete in time") from None
+            raise BadRequest(408, "request not complete in time") from None
         self.budget.busy("unfinished", conn)
         if head.method == b"HEAD":
-            raise Refused(405, "")
+            raise BadRequest(405, "")
         path = head.target.partition(b"?")[0]
         if path == b"/health/ready":
             up = self.ready and not self.leaving
             return (200 if up else 503), [], b"ready" if up else b"not ready"
         if path == b"/health/live":
             return 200, [], b"live"
-        queue_type = self.types.get(path[1:].partition(b"/")[0])
-        if queue_type is None:
-            raise Refused(404, "no such path")
-        if head.method != b"POST":
-            raise Refused(405, "jobs come by POST")
-        exchange = self.exchange(conn, head, content)
-        arrived = self.arrived(exchange, head, queue_type)
-        if beyond or self.in_hand >= self.words["most_held"]:
+        exchange, told = self.requests.job(head, content, self.loop.now())
+        if beyond or self.in_hand >= self.most_held:
             # Nothing of it was sent anywhere, so trying again is harmless.
             self.log("no_room", job=exchange.name, clients=len(self.clients))
             return REJECTED, [], b""
         self.in_hand += 1
+        exchange.answer = lambda *answer: self.loop.wake(conn.owner, answer)
         try:
-            self.inbox.put(*arrived)
+            self.inbox.put("arrived", exchange, *told)
             return (yield from self.outcome(conn, exchange))
         finally:
             self.in_hand -= 1
@@ -212,49 +165,5 @@
             if got & ENDED:
                 return None
         # The decisions end each job before this; should they fail at it, the client still gets its answer.
-        self.log("late", job=exchange.job)
+        self.log("late", job=exchange.name)
         return KILLED, [], b""
-
-    def exchange(self, conn, head, content):
-        exchange = Exchange(self)
-        exchange.task, exchange.method, exchange.target = conn.owner, head.method, head.target
-        exchange.body = content
-        exchange.headers = [(name, value) for name, value in head.headers
-                            if name not in http.DROPPED and name != b"x-remaining-ms"]
-        return exchange
-
-    def arrived(self, exchange, head, queue_type):
-        """The call that this request becomes: the job and all that is told of it."""
-        fields = dict(head.headers)
-        if b"x-txn" not in fields:
-            raise Refused(400, "X-Txn is missing")
-        if self.types.get(fields.get(b"x-lane", b""), queue_type) != queue_type:
-            raise Refused(400, "X-Lane and path differ")
-        qt = self.words["queue_types"][queue_type]
-        if qt["effect"] == "deduplicated" and b"idempotency-key" not in fields:
-            raise Refused(400, "Idempotency-Key is missing")
-        extras = {}
-        for pair in fields.get(b"x-labels", b"").split(b","):
-            name, _, value = pair.strip().partition(b"=")
-            if name:
-                extras[name] = value
-        now = self.loop.now()
-        patience = fields.get(b"x-remaining-ms")
-        patience = qt["walltime"] if patience is None else round(number(patience) * 1000)
-        exchange.until, exchange.kind = now + patience, qt["name"]
-        exchange.name = fields[b"x-txn"].decode("latin-1")
-        tenant = self.tenants.get(fields.get(b"x-org", b""), 0)
-        width = number(extras.get(b"width", extras.get(b"slots", b"1"))) or 1.0
-        memory = number(extras.get(b"ramUnits", extras.get(b"memory", b"0")))
-        hint = round(number(fields.get(b"x-estimate", b"0")))
-        key = key_of(fields.get(b"cookie", b""))
-        return "arrived", exchange, queue_type, hint, key, width, memory, tenant, patience
-
-
-def key_of(cookie):
-    """What the job is about: any text will do, 0 for none."""
-    for pair in cookie.split(b";"):
-        name, _, value = pair.strip().partition(b"=")
-        if name == b"user":
-            return value
-    return 0
--- /dev/null
+++ b/mastledge/protocol/requests.py
@@ -0,0 +1,92 @@
+"""From a client's request to the job that it asks for, and back to its answer."""
+
+from mastledge.protocol import http
+
+COMPLETED, REJECTED, KILLED = 200, 503, 500
+
+
+class BadRequest(Exception):
+    """The request is answered at the door, with this status."""
+
+    def __init__(self, status, why):
+        self.status, self.why = status, why
+
+
+class Exchange:
+    """One job's request, to be passed on as it came, and the way back to its client."""
+
+    __slots__ = ("answer", "name", "kind", "method", "target", "headers", "body", "until", "open", "job")
+
+    def __init__(self):
+        self.answer, self.open, self.job = None, True, None
+
+    def completed(self, result):
+        self.finish(COMPLETED, [(b"content-type", b"application/octet-stream")], result)
+
+    def rejected(self, hold_off):
+        self.finish(REJECTED, [(b"retry-after", b"%.3f" % (hold_off / 1e6))] if hold_off else [], b"")
+
+    def killed(self):
+        self.finish(KILLED, [], b"")
+
+    def finish(self, status, headers, content):
+        if self.open:
+            self.open = False
+            self.answer(status, headers, content)
+
+
+class Requests:
+    def __init__(self, words):
+        self.queue_types = words["queue_types"]
+        self.types = {qt["name"].encode(): n for n, qt in enumerate(self.queue_types)}
+        self.tenants = {name.encode(): n for n, name in enumerate(words["tenants"])}
+
+    def job(self, head, content, now):
+        """The exchange of a job, and all that the decisions are told of the job when it arrives."""
+        queue_type = self.types.get(head.target.partition(b"?")[0][1:].partition(b"/")[0])
+        if queue_type is None:
+            raise BadRequest(404, "no such path")
+        if head.method != b"POST":
+            raise BadRequest(405, "jobs come by POST")
+        qt, fields = self.queue_types[queue_type], dict(head.headers)
+        if b"x-txn" not in fields:
+            raise BadRequest(400, "X-Txn is missing")
+        if self.types.get(fields.get(b"x-lane", b""), queue_type) != queue_type:
+            raise BadRequest(400, "X-Lane and path differ")
+        if qt["effect"] == "deduplicated" and b"idempotency-key" not in fields:
+            raise BadRequest(400, "Idempotency-Key is missing")
+        patience = fields.get(b"x-remaining-ms")
+        patience = qt["walltime"] if patience is None else round(number(patience) * 1000)
+        exchange = Exchange()
+        exchange.name, exchange.kind = fields[b"x-txn"].decode("latin-1"), qt["name"]
+        exchange.until = now + patience
+        exchange.method, exchange.target, exchange.body = head.method, head.target, content
+        exchange.headers = [(name, value) for name, value in head.headers
+                            if name not in http.DROPPED and name != b"x-remaining-ms"]
+        extras = pairs(fields.get(b"x-labels", b""), b",")
+        width = number(extras.get(b"width", extras.get(b"slots", b"1"))) or 1.0
+        memory = number(extras.get(b"ramUnits", extras.get(b"memory", b"0")))
+        # What the job is about: any text will do for the decisions, 0 for none.
+        key = pairs(fields.get(b"cookie", b""), b";").get(b"user", 0)
+        hint = round(number(fields.get(b"x-estimate", b"0")))
+        tenant = self.tenants.get(fields.get(b"x-org", b""), 0)
+        return exchange, (queue_type, hint, key, width, memory, tenant, patience)
+
+
+def pairs(text, mark):
+    out = {}
+    for pair in text.split(mark):
+        name, _, value = pair.strip().partition(b"=")
+        if name:
+            out[name] = value
+    return out
+
+
+def number(text):
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0 <= value < 1e12:
+        raise BadRequest(400, f"no number: {text[:40]!r}")
+    return value
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -11,21 +11,10 @@
 from mastledge.program.logs import Log
 from mastledge.program.phases import FINISHING, LEAVING, NEXT, SERVING, STARTING, WAITING, Program
 from mastledge.program.settings import flat
-from mastledge.protocol.clients import Exchange
+from mastledge.protocol.requests import Exchange
 from mastledge.routing.router import Router
 
 
-class Answers:
-    """Stands where the door would: keeps the answers of an exchange."""
-
-    def __init__(self, rig):
-        self.loop, self.given = self, []
-        self.rig = rig
-
-    def wake(self, task, answer):
-        self.given.append(answer)
-
-
 def router(rig, effect="restartable", listed=1):
     made = Router(rig.loop, rig.inbox, balancer([queue_type(effect)], workers=0), workers(rig), None, rig.log)
     made.discovery = type("Told", (), {"generation": 1})
@@ -39,14 +28,13 @@
 
 
 def arrived(rig, made, patience=500_000):
-    door = Answers(rig)
-    exchange = Exchange(door)
-    exchange.task, exchange.name, exchange.kind = None, "9b1f", "render"
+    exchange, given = Exchange(), []
+    exchange.answer, exchange.name, exchange.kind = lambda *answer: given.append(answer), "9b1f", "render"
     exchange.until = rig.loop.now() + patience
     exchange.method, exchange.target, exchange.headers, exchange.body = b"POST", b"/render", [], b""
     made.on_arrived(rig.loop.now(), exchange, 0, 100_000, 0, 1.0, 0.0, 0, patience)
     made.guarded(made.pull, rig.loop.now())
-    return made.jobs[made.count], door.given
+    return made.jobs[made.count], given
 
 
 @pytest.mark.parametrize(("hows", "answers"), [
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -4,8 +4,8 @@
 import pytest
 from helpers import Rig, peer_at, workers
 
-from mastledge.protocol.clients import Exchange
 from mastledge.protocol.discovery import BadList, Discovery
+from mastledge.protocol.requests import Exchange
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 STATS = b"HTTP/1.1 200 OK\r\nContent-Length: "
@@ -26,7 +26,7 @@
 
 
 def exchange(body=b"x"):
-    made = Exchange(None)
+    made = Exchange()
     made.method, made.target, made.headers, made.body = b"POST", b"/render?a=1", [(b"x-txn", b"9b1f")], body
     return made
 
