--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,18 +1,22 @@
 """Routing and the program round it."""
 
 import os
+import socket
 
+import helpers
 import orjson
 import pytest
-from helpers import Rig, balancer, peer_at, queue_type, workers
+from helpers import HERE, Rig, balancer, peer_at, queue_type, workers
 
+from mastledge.program import phases
 from mastledge.program.command import main
 from mastledge.program.configuration import BadConfiguration, configuration
 from mastledge.program.logs import Log
-from mastledge.program.phases import FINISHING, LEAVING, NEXT, SERVING, STARTING, WAITING, Program
+from mastledge.program.phases import ENDED, FINISHING, LEAVING, NEXT, SERVING, STARTING, WAITING, Program
 from mastledge.program.settings import flat
 from mastledge.protocol.requests import Exchange
 from mastledge.routing.router import Router
+from mastledge.transport.connection import listen
 
 
 def router(rig, effect="restartable", listed=1):
@@ -208,3 +212,36 @@
     assert main() == code
     told = "".join(capsys.readouterr())
     assert says in told and told.count("\n") == 1
+
+
+@pytest.mark.parametrize(("answered", "longest", "status"), [
+    (True, 3_000_000, b"200"), (False, 50_000, b"500")])
+def test_the_end_finishes_what_was_taken_and_kills_the_rest(answered, longest, status, tmp_path, monkeypatch):
+    for name, time in (("ACCEPTING", 20_000), ("LONGEST", longest), ("LAST", 50_000), ("FIRST_NEWS", 0)):
+        monkeypatch.setattr(phases, name, time)
+    peer, sock = peer_at()
+    door = listen((HERE, 0))
+    at = f"{HERE}:{door.getsockname()[1]}"
+    door.close()
+    known = {"generation": 1, "reset": True, "instances": [{
+        "instanceId": "s-1", "hostPort": f"{HERE}:{peer.address[1]}", "zone": "z", "machineType": "k",
+        "cell": 0, "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0}]}
+    rig = Rig()
+    made = Program(configuration(file(tmp_path, listen=at, known=known), {}), rig.log)
+    rig.loop, made.sock = made.loop, made.listening()
+    made.inbox.reader, made.life = rig.loop.spawn(made.router.run()), rig.loop.spawn(made.phases())
+    assert rig.turn(lambda: made.phase == SERVING)
+    busy, idle = (socket.create_connection(made.told["listen"], 2) for _ in range(2))
+    busy.sendall(helpers.job(X_Remaining_Ms=4000))
+    theirs, _ = rig.called(sock)
+    made.signalled = True
+    rig.loop.wake(made.life)
+    assert rig.turn(lambda: made.phase == LEAVING)
+    if answered:
+        raw = b'{"id":"9b1f","state":"done","result":"r"}\n'
+        theirs.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(raw), raw))
+    reply = rig.reply(busy)
+    busy.close()
+    assert rig.turn(lambda: not made.loop.running) and made.phase == ENDED and not rig.errors
+    assert reply.startswith(b"HTTP/1.1 " + status) and b"connection: close" in reply.lower()
+    assert idle.recv(1) == b"" and not made.router.faults
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -188,6 +188,17 @@
         assert [entry[0] for entry in rig.inbox.items[0][2]] == ["s-2"]
 
 
+@pytest.mark.parametrize("list_", [
+    {}, {"generation": "1", "reset": False, "instances": []},
+    {"generation": 1, "reset": False, "instances": None}, {"generation": 1, "instances": []},
+    {"generation": 1, "reset": False, "instances": [[]]}])
+def test_a_list_of_another_shape_is_bad(list_):
+    rig = Rig()
+    with pytest.raises(BadList):
+        discovery(rig).apply(list_)
+    assert not rig.inbox.items
+
+
 @pytest.mark.parametrize(("answers", "kinds", "asks"), [
     ([CHUNKED + b"1\r\n\n\r\n"], ["changes"], [b"follow=1&since=7"]),
     ([CHUNKED + b"5\r\n{bad\n\r\n", plain(200)], ["changes", "failed"],
