The end reaches the decisions through the queue like everything else

The task of the phases called the router itself to kill what is still open, so two tasks touched the module (program/phases.py). It puts that into the queue now. Seen by hand: workers that take 6 s, five jobs open at SIGTERM or arriving until 0.4 s after it, all killed after 3.5 s, exit 0 at 3.6 s, as before.

--- a/mastledge/program/phases.py
+++ b/mastledge/program/phases.py
@@ -146,7 +146,7 @@
         while door.clients and loop.now() < last:
             door.close_all_idle()
             yield (-1, 0, loop.now() + LOOK)
-        router.give_up_all()
+        self.inbox.put("over")
         while door.clients and loop.now() < last + LAST // 5:
             door.close_all_idle()
             yield (-1, 0, loop.now() + LOOK // 4)
--- a/mastledge/routing/router.py
+++ b/mastledge/routing/router.py
@@ -113,6 +113,14 @@
     def on_probed(self, now, peer, how, lag, report):
         self.balancer.probed(now, peer, how, lag, report)
 
+    def on_over(self, now):
+        """The program has to end: what is still open gets the answer that promises nothing."""
+        for job in list(self.jobs.values()):
+            if job.exchange.open:
+                job.exchange.killed()
+                self.balancer.abandoned(now, job.id)
+                self.closed(now, job, "killed")
+
     # Decisions
 
     def pull(self, now):
@@ -181,13 +189,3 @@
     def forget(self, job):
         if not job.out and not job.exchange.open:
             self.jobs.pop(job.id, None)
-
-    def give_up_all(self):
-        """The program has to end: what is still open gets the answer that promises nothing."""
-        now = self.loop.now()
-        for job in list(self.jobs.values()):
-            if job.exchange.open:
-                job.exchange.killed()
-                self.closed(now, job, "killed")
-                self.balancer.abandoned(now, job.id)
-        self.guarded(self.pull, now)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -81,7 +81,8 @@
     rig = Rig()
     made, _ = router(rig, "run-once")
     job, given = arrived(rig, made)
-    made.give_up_all()
+    made.on_over(rig.loop.now())
+    made.guarded(made.pull, rig.loop.now())
     assert [answer[0] for answer in given] == [500] and made.totals["killed"] == 1
     assert job.launches[0].task.ended
 
