Addresses are numbers only, so that no look-up of a name can hold up the loop

A name in the list or the configuration would have been looked up in the middle of a connect, with all other connections waiting (transport/connection.py). It is a bad entry, or one plain message, now; an unreadable seed is said as such.

--- a/mastledge/program/configuration.py
+++ b/mastledge/program/configuration.py
@@ -2,7 +2,7 @@
 
 import orjson
 
-from mastledge.program.settings import BadSetting, flat, plain_map
+from mastledge.program.settings import flat, plain_map
 from mastledge.transport.connection import address_of
 
 
@@ -19,6 +19,13 @@
     return value
 
 
+def seed_of(text):
+    try:
+        return int(text, 16)
+    except ValueError:
+        raise BadConfiguration(f"seed cannot be read: {text!r}") from None
+
+
 def configuration(path, env):
     """A plain map of all that the program is told; the environment stands in for what the file leaves out."""
     try:
@@ -34,13 +41,11 @@
         out = {"name": part(told, "name", str, env.get("GW_NAME", "dispatcher"))}
         for name, variable in (("listen", "GW_LISTEN"), ("discovery", "GW_DISCOVERY")):
             out[name] = address_of(part(told, name, str, env.get(variable)))
-        out["seed"] = int(part(told, "seed", str), 16)
+        out["seed"] = seed_of(part(told, "seed", str))
         limits = part(told, "limits", dict, {})
         out["sockets"] = int(part(limits, "sockets", int, 1024))
         out["known"] = part(told, "known", dict, {})
         out["settings"] = plain_map(flat(part(told, "settings", dict)))
-    except (BadSetting, BadConfiguration) as error:
-        raise BadConfiguration(f"{path}: {error}") from None
-    except ValueError as error:
+    except ValueError as error:  # bad settings and addresses are such
         raise BadConfiguration(f"{path}: {error}") from None
     return out
--- a/mastledge/transport/connection.py
+++ b/mastledge/transport/connection.py
@@ -1,7 +1,9 @@
 """One TCP connection: its socket, its buffer, its place in the budget."""
 
 import errno
+import os
 import socket
+from ipaddress import ip_address
 
 from mastledge.transport.buffer import Buffer
 from mastledge.transport.loop import READ, WRITE
@@ -74,11 +76,15 @@
 
 
 def address_of(text):
-    """Host and port of HOST:PORT."""
+    """Address and port of ADDRESS:PORT. A name is none: to look it up would hold up all connections."""
     host, _, port = text.rpartition(":")
     host = host.strip("[]")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ValueError(f"no address of the form HOST:PORT: {text!r}")
+    try:
+        ip_address(host)
+    except ValueError:
+        host = None
+    if host is None or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"no address of the form ADDRESS:PORT: {text!r}")
     return host, int(port)
 
 
@@ -86,32 +92,27 @@
     """A new connection; OSError or TimedOut when it does not come up, NoSocket when none may be opened."""
     if not budget.take(kind):
         raise NoSocket
-    conn = None
     try:
-        try:
-            sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
-        except OSError as error:
-            if error.errno not in FULL:
-                raise
-            budget.evict("workers", "clients", "unfinished")
-            raise NoSocket from None
-        conn = Connection(loop, sock, budget, kind)
+        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+    except OSError as error:
+        budget.give(kind)
+        if error.errno not in FULL:
+            raise
+        budget.evict("workers", "clients", "unfinished")
+        raise NoSocket from None
+    conn = Connection(loop, sock, budget, kind)
+    try:
         code = sock.connect_ex(address)
         if code == errno.EINPROGRESS:
             if not (yield (conn.fd, WRITE, until)):
                 raise TimedOut
             code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
-            raise OSError(code, "connect")
-        done, conn = conn, None
-        return done
+            raise OSError(code, os.strerror(code))
+        return conn
     except BaseException:
-        if conn is None:
-            budget.give(kind)
+        conn.close()
         raise
-    finally:
-        if conn is not None:
-            conn.close()
 
 
 def listen(address, backlog=1024):
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -137,7 +137,8 @@
 
 
 @pytest.mark.parametrize(("changed", "says"), [
-    ({"listen": None}, "listen is missing"), ({"listen": "7070"}, "HOST:PORT"), ({"seed": "xyz"}, "invalid"),
+    ({"listen": None}, "listen is missing"), ({"listen": "7070"}, "ADDRESS:PORT"),
+    ({"listen": "here:7070"}, "ADDRESS:PORT"), ({"seed": "xyz"}, "seed cannot be read: 'xyz'"),
     ({"settings": {}}, "balancers is missing"), ({"settings": {**GOOD["settings"], "stepMs": []}}, "stepMs"),
     ({"settings": {**GOOD["settings"], "queueTypes": []}}, "queueTypes"), ({"limits": 4}, "limits")])
 def test_a_bad_configuration_is_one_plain_message(changed, says, tmp_path):
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -172,8 +172,8 @@
 
 
 @pytest.mark.parametrize("changed", [
-    {"hostPort": "nowhere"}, {"lifecycle": "odd"}, {"cell": None}, {"instanceId": 4}, {"startedAtMs": "x"},
-    {"zone": []}])
+    {"hostPort": "nowhere"}, {"hostPort": "a.name:7070"}, {"lifecycle": "odd"}, {"cell": None},
+    {"instanceId": 4}, {"startedAtMs": "x"}, {"zone": []}])
 @pytest.mark.parametrize("whole", [None, "whole"])
 def test_a_bad_entry_spoils_a_change_but_not_a_whole_list(changed, whole):
     rig = Rig()
