SIGHUP reads the configuration anew; framing, ids and walltimes are checked at the door

Checked: h11 drops Content-Length silently where chunked is said (its framing lets both stand), reads HTTP/2.0 heads, and leaves what comes behind a body that is longer than stated for the next request. In clients.py a request had 30 s to become whole and a silent connection 120 s; nothing looked at ids of open jobs; an unknown X-Lane passed; a walltime of any size went to the decisions, where the largest of a queue type shifts all targets. phases.py handled SIGTERM and SIGINT only. Ruled out: memory (12 of 80 MB), descriptors (229 of 384).

Now: both lengths, other versions, bytes behind a body, ids twice, unknown queue types and odd figures get 4xx and a close; a request has 2 s from the connect, later ones from their first byte, kept clients stay; who never said a whole request gives way first. SIGHUP: discovery and limits move, what else changed is named in the log, an unreadable file changes nothing.

--- a/mastledge/program/command.py
+++ b/mastledge/program/command.py
@@ -14,7 +14,8 @@
 
 def serve(args):
     told = configuration(args.config, os.environ)
-    return Program(told, Log(sys.stderr.fileno(), told["name"], args.log)).run()
+    log = Log(sys.stderr.fileno(), told["name"], args.log)
+    return Program(told, log, lambda: configuration(args.config, os.environ)).run()
 
 
 def check(args):
--- a/mastledge/program/phases.py
+++ b/mastledge/program/phases.py
@@ -5,6 +5,7 @@
 import resource
 import signal
 import time
+from copy import deepcopy
 
 from mastledge.balance import Balancer
 from mastledge.protocol.clients import Door
@@ -37,8 +38,8 @@
 
 
 class Program:
-    def __init__(self, told, log):
-        self.told, self.log, self.phase = told, log, STARTING
+    def __init__(self, told, log, read_again=None):
+        self.told, self.log, self.phase, self.read_again = told, log, STARTING, read_again
         self.loop = loop = Loop(self.fault)
         settings = told["settings"]
         self.budget = Budget(descriptors(told["sockets"]))
@@ -51,7 +52,8 @@
         self.discovery = Discovery(loop, self.budget, inbox, told["discovery"], words, log)
         self.workers = Workers(loop, self.budget, inbox, settings, log)
         self.door = Door(loop, self.budget, inbox, words, log)
-        balancer = Balancer(settings, told["seed"], loop.now())
+        # The decisions write what they learn beside the settings that they are handed.
+        balancer = Balancer(deepcopy(settings), told["seed"], loop.now())
         self.router = Router(loop, inbox, balancer, self.workers, self.discovery, log)
         self.following = settings["follow"] == "pushed"
         self.signalled = False
@@ -72,6 +74,8 @@
         signal.set_wakeup_fd(pipe[1], warn_on_full_buffer=False)
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self.signal)
+        # Left to the system it would end the program; what it asks for is done outside of the handler.
+        signal.signal(signal.SIGHUP, lambda number, frame: None)
         self.sock = self.listening()
         self.loop.spawn(self.signals(pipe[0]))
         self.inbox.reader = self.loop.spawn(self.vital(self.router.run()))
@@ -105,9 +109,24 @@
     def signals(self, fd):
         while True:
             yield (fd, READ, None)
-            os.read(fd, 64)
+            numbers = os.read(fd, 64)
+            if signal.SIGHUP in numbers:
+                self.reconfigure()
             self.loop.wake(self.life)
 
+    def reconfigure(self):
+        """Takes over from the file what can change under load; workers, jobs and what was learned stay."""
+        try:
+            told = self.read_again()
+            self.budget.resize(descriptors(told["sockets"]))
+        except Exception as error:
+            # Whoever replaces a file under load must not end the service with a slip in it.
+            self.log("configuration_kept", why=str(error) or type(error).__name__)
+            return
+        self.discovery.move(told["discovery"])
+        restart = [part for part in ("name", "listen", "settings") if told[part] != self.told[part]]
+        self.log("configuration", discovery=told["discovery"], sockets=told["sockets"], needs_restart=restart)
+
     def can_serve(self, impatient):
         """A worker is known, and the list is no older than it has to be: the one kept may be of long ago."""
         heard = impatient or self.discovery.task is None or self.discovery.answered
--- a/mastledge/program/settings.py
+++ b/mastledge/program/settings.py
@@ -92,7 +92,7 @@
         return absent
     try:
         return kind(text)
-    except (TypeError, ValueError):
+    except (TypeError, ValueError, OverflowError):
         raise BadSetting(f"setting {path} cannot be read: {text!r}") from None
 
 
--- a/mastledge/protocol/clients.py
+++ b/mastledge/protocol/clients.py
@@ -1,14 +1,19 @@
 """Clients: takes their jobs, holds the connection until the answer, notices when they leave."""
 
+from collections import deque
+
 import h11
 
 from mastledge.protocol import http
 from mastledge.protocol.requests import KILLED, REJECTED, BadRequest, Requests
+from mastledge.transport.budget import CLIENTS
 from mastledge.transport.connection import Connection, TimedOut, accept
 from mastledge.transport.loop import ENDED, GONE, READ
 
-SLOW = 30_000_000  # a request that has begun must be whole by then
+WHOLE = 2_000_000  # a request must be whole this long after its first byte, the first one after the connect
+SLOW = 5_000_000  # an answer that its client does not read is held for this long
 IDLE = 120_000_000
+YOUNG = 200_000
 PAUSE = 20_000  # where descriptors are short
 LINGER = 1_000_000  # what is still under way is read, or closing would reset the answer to it
 
@@ -20,6 +25,7 @@
         self.loop, self.budget, self.inbox, self.log = loop, budget, inbox, log
         self.requests, self.most_held = Requests(words), words["most_held"]
         self.clients, self.ready, self.leaving, self.in_hand = set(), False, False, 0
+        self.names, self.known = set(), deque()
 
     def listen(self, sock):
         while True:
@@ -63,52 +69,63 @@
         return True
 
     def close_all_idle(self):
-        for close in list(self.budget.idle["clients"].values()):
-            close()
+        for place in ("unused", "clients"):
+            for close in list(self.budget.idle[place].values()):
+                close()
 
     def serve(self, conn, beyond):
-        loop = self.loop
+        # Who connects and says nothing, or never all of it, goes before any client that has had an answer.
+        loop, idle, until = self.loop, "unused", self.loop.now() + WHOLE
         try:
             while True:
-                self.budget.rest("clients", conn, lambda: self.close_idle(conn))
+                self.rests(idle, conn)
                 if conn.http.trailing_data == (b"", False):
-                    if not (yield (conn.fd, READ, loop.now() + IDLE)):
-                        if conn.quiet():
-                            return
-                self.budget.busy("clients", conn)
-                self.budget.rest("unfinished", conn, lambda: self.close_idle(conn))
+                    wait = until if idle == "unused" else loop.now() + IDLE
+                    if not (yield (conn.fd, READ, wait)) and conn.quiet():
+                        return
+                self.rests("unfinished", conn)
                 try:
-                    reply = yield from self.one(conn, beyond)
+                    until = until if idle == "unused" else loop.now() + WHOLE
+                    reply = yield from self.one(conn, beyond, until)
                 except BadRequest as bad:
-                    self.log("bad_request", status=bad.status, why=bad.why)
                     reply = bad.status, [], bad.why.encode()
-                    beyond = beyond or bad.status in (400, 408, 413)
                 except http.TooLarge:
-                    self.log("bad_request", status=413, why="body too large")
-                    reply, beyond = (413, [], b"body too large"), True
+                    reply = 413, [], b"body too large"
                 except h11.RemoteProtocolError as error:
                     if conn.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
                         return
-                    status = 413 if error.error_status_hint == 431 else 400
-                    self.log("bad_request", status=status, why=str(error))
-                    reply, beyond = (status, [], str(error).encode()), True
-                self.budget.busy("unfinished", conn)
+                    reply = 413 if error.error_status_hint == 431 else 400, [], str(error).encode()
+                else:
+                    idle = "clients"
+                self.rests("unused" if idle == "unused" else None, conn)
                 if reply is None:
                     return
                 status, headers, content = reply
-                last = beyond or self.leaving
+                if 400 <= status < 500:
+                    self.log("bad_request", status=status, why=content[:200].decode("latin-1"))
+                # Nothing that follows what could not be read, or not be used, can be trusted.
+                last = beyond or self.leaving or 400 <= status < 500
                 yield from conn.send(http.answer(conn, status, headers, content, last), loop.now() + SLOW)
                 if last or not http.again(conn.http):
+                    self.rests("unused", conn)
                     yield from self.linger(conn)
                     return
         except (OSError, TimedOut):
             return
         finally:
-            self.budget.busy("clients", conn)
-            self.budget.busy("unfinished", conn)
+            self.rests(None, conn)
             self.clients.discard(conn)
             conn.close()
 
+    def rests(self, place, conn):
+        """Where it stands among those that give way when descriptors run short; None: not among them."""
+        for kind in CLIENTS:
+            self.budget.busy(kind, conn)
+        if place is not None:
+            # Half a request of a moment ago may be whole in the next; of long ago, never.
+            young = self.loop.now() + YOUNG if place == "unfinished" else 0
+            self.budget.rest(place, conn, lambda: self.loop.now() >= young and self.close_idle(conn))
+
     def linger(self, conn):
         conn.end_sending()
         until, left = self.loop.now() + LINGER, 16 * http.MOST_BODY
@@ -118,20 +135,20 @@
                 return
             left -= len(part)
 
-    def one(self, conn, beyond):
+    def one(self, conn, beyond, until):
         """One request: its answer, or None where the client has gone."""
-        until = self.loop.now() + SLOW
         try:
             head = yield from http.event(conn, until)
             if isinstance(head, h11.ConnectionClosed):
                 return None
-            for name, value in head.headers:
-                if name == b"content-length" and int(value) > http.MOST_BODY:
-                    raise http.TooLarge
+            http.framed(head)
             content = yield from http.body(conn, until)
         except TimedOut:
             raise BadRequest(408, "request not complete in time") from None
-        self.budget.busy("unfinished", conn)
+        self.rests(None, conn)
+        if not http.next_begins(conn):
+            # A length that is too small cuts a body off, and its rest would be read as the next request.
+            raise BadRequest(400, "bytes beyond the stated length")
         if head.method == b"HEAD":
             raise BadRequest(405, "")
         path = head.target.partition(b"?")[0]
@@ -141,11 +158,16 @@
         if path == b"/health/live":
             return 200, [], b"live"
         exchange, told = self.requests.job(head, content, self.loop.now())
+        if not self.new(exchange):
+            # An id is new with every request, so this is another's, and that job goes on untouched.
+            raise BadRequest(409, "X-Txn is in use")
         if beyond or self.in_hand >= self.most_held:
             # Nothing of it was sent anywhere, so trying again is harmless.
             self.log("no_room", job=exchange.name, clients=len(self.clients))
             return REJECTED, [], b""
         self.in_hand += 1
+        self.names.add(exchange.name)
+        self.known.append((exchange.until, exchange.name))
         exchange.answer = lambda *answer: self.loop.wake(conn.owner, answer)
         try:
             self.inbox.put("arrived", exchange, *told)
@@ -155,6 +177,15 @@
             if exchange.open:
                 exchange.open = False
                 self.inbox.put("abandoned", exchange)
+            elif exchange.harmless:
+                self.names.discard(exchange.name)
+
+    def new(self, exchange):
+        """Whether no job of this id was taken in the time that its client can wait for it."""
+        known, now = self.known, self.loop.now()
+        while known and known[0][0] <= now:
+            self.names.discard(known.popleft()[1])
+        return exchange.name not in self.names
 
     def outcome(self, conn, exchange):
         got = READ
--- a/mastledge/protocol/http.py
+++ b/mastledge/protocol/http.py
@@ -1,5 +1,7 @@
 """h11 on a connection: events in, bytes out."""
 
+import re
+
 import h11
 import orjson
 
@@ -11,6 +13,10 @@
            b"upgrade", b"content-length", b"host", b"expect"}
 
 
+# How another request can begin behind a whole one, as far as it has come.
+NEXT = re.compile(rb"\s*(?:(?:GET|HEAD|POST|PUT|PATCH|DELETE|OPTIONS) [!-~]|[A-Z]{0,7} ?$)")
+
+
 class TooLarge(Exception):
     """A body beyond what the protocol allows."""
 
@@ -32,6 +38,30 @@
         http.receive_data((yield from conn.receive(until)))
 
 
+def framed(head):
+    """Turns away what another reader could bound otherwise than h11: its body may hide a second request."""
+    names = [name for name, _ in head.headers]
+    if head.http_version not in (b"1.0", b"1.1"):
+        raise h11.RemoteProtocolError("no HTTP/1.1")
+    if b"transfer-encoding" in names and (b"content-length" in names or head.http_version == b"1.0"):
+        raise h11.RemoteProtocolError("Transfer-Encoding beside another length")
+    for name, value in head.headers:
+        if name == b"content-length" and int(value) > MOST_BODY:
+            raise TooLarge
+
+
+def next_begins(conn):
+    """Whether what has come behind a whole request is nothing, or may begin another."""
+    behind, ended = conn.http.trailing_data
+    if not behind and not ended and not conn.quiet():
+        try:
+            conn.http.receive_data(conn.buffer.receive(conn.sock))
+        except OSError:
+            return True
+        behind, _ = conn.http.trailing_data
+    return NEXT.match(behind) is not None
+
+
 def body(conn, until):
     """A whole body, in the connection's buffer until it is complete."""
     conn.buffer.clear()
--- a/mastledge/protocol/requests.py
+++ b/mastledge/protocol/requests.py
@@ -1,8 +1,14 @@
 """From a client's request to the job that it asks for, and back to its answer."""
 
+import re
+
 from mastledge.protocol import http
 
 COMPLETED, REJECTED, KILLED = 200, 503, 500
+ID = re.compile(rb"[!-~]{1,128}")
+FIGURE = re.compile(rb"[0-9]+(?:\.[0-9]+)?")
+# Two of these would be read as the first by one and as the last by another.
+ONCE = (b"x-txn", b"x-lane", b"x-remaining-ms", b"x-estimate", b"idempotency-key", b"host")
 
 
 class BadRequest(Exception):
@@ -15,15 +21,17 @@
 class Exchange:
     """One job's request, to be passed on as it came, and the way back to its client."""
 
-    __slots__ = ("answer", "name", "kind", "method", "target", "headers", "body", "until", "open", "job")
+    __slots__ = ("answer", "name", "kind", "method", "target", "headers", "body", "until", "open", "job",
+                 "harmless")
 
     def __init__(self):
-        self.answer, self.open, self.job = None, True, None
+        self.answer, self.open, self.job, self.harmless = None, True, None, False
 
     def completed(self, result):
         self.finish(COMPLETED, [(b"content-type", b"application/octet-stream")], result)
 
     def rejected(self, hold_off):
+        self.harmless = True
         self.finish(REJECTED, [(b"retry-after", b"%.3f" % (hold_off / 1e6))] if hold_off else [], b"")
 
     def killed(self):
@@ -49,14 +57,20 @@
         if head.method != b"POST":
             raise BadRequest(405, "jobs come by POST")
         qt, fields = self.queue_types[queue_type], dict(head.headers)
-        if b"x-txn" not in fields:
-            raise BadRequest(400, "X-Txn is missing")
-        if self.types.get(fields.get(b"x-lane", b""), queue_type) != queue_type:
+        if len(fields) < len(head.headers):
+            names = [name for name, _ in head.headers]
+            if any(names.count(name) > 1 for name in ONCE):
+                raise BadRequest(400, "a header stands twice")
+        if not ID.fullmatch(fields.get(b"x-txn", b"")):
+            raise BadRequest(400, "X-Txn is missing or no id")
+        if b"x-lane" in fields and self.types.get(fields[b"x-lane"]) != queue_type:
             raise BadRequest(400, "X-Lane and path differ")
-        if qt["effect"] == "deduplicated" and b"idempotency-key" not in fields:
+        if qt["effect"] == "deduplicated" and not fields.get(b"idempotency-key"):
             raise BadRequest(400, "Idempotency-Key is missing")
-        patience = fields.get(b"x-remaining-ms")
-        patience = qt["walltime"] if patience is None else round(number(patience) * 1000)
+        patience = qt["walltime"]
+        if b"x-remaining-ms" in fields:
+            # One client's walltime without end would move what is expected of all the others.
+            patience = min(round(number(fields[b"x-remaining-ms"]) * 1000), patience)
         exchange = Exchange()
         exchange.name, exchange.kind = fields[b"x-txn"].decode("latin-1"), qt["name"]
         exchange.until = now + patience
@@ -83,10 +97,8 @@
 
 
 def number(text):
-    try:
-        value = float(text)
-    except ValueError:
-        value = -1.0
-    if not 0 <= value < 1e12:
+    # Python's own reading lets through more: nan, 1e9, 1_000.
+    value = float(text) if FIGURE.fullmatch(text) else 1e12
+    if not value < 1e12:
         raise BadRequest(400, f"no number: {text[:40]!r}")
     return value
--- a/mastledge/transport/budget.py
+++ b/mastledge/transport/budget.py
@@ -1,18 +1,23 @@
 """Descriptors shared out over clients, workers and discovery; idle connections give way first."""
 
 SPARE = 16  # standard streams, epoll, wake-up, listener, and a few to answer with when all is full
-# Who goes for a new one, in this order: a request that never becomes whole must not keep others out for long.
-GIVE_WAY = {"clients": ("clients", "unfinished"), "workers": ("workers",), "discovery": ()}
+# Who goes for a new one, in this order: clients that never said all of it before those that had an answer.
+CLIENTS = ("unused", "unfinished", "clients")
+GIVE_WAY = {"clients": CLIENTS, "workers": ("workers",), "discovery": ()}
+SHORT = ("unused", "unfinished", "workers", "clients")  # where the system itself has none left
 
 
 class Budget:
     def __init__(self, sockets):
+        self.resize(sockets)
+        self.used = dict.fromkeys(self.most, 0)
+        self.idle = {kind: {} for kind in SHORT}
+
+    def resize(self, sockets):
         total = max(8, sockets - SPARE)
         # A client in hand needs a worker's connection, and some of those are still ending their last answer.
         clients = total * 12 // 25
         self.most = {"clients": clients, "workers": total - clients, "discovery": 2}
-        self.used = dict.fromkeys(self.most, 0)
-        self.idle = {kind: {} for kind in ("clients", "unfinished", "workers")}
 
     def beyond(self, kind, spare=SPARE // 4):
         """Whether even the few that are answered although the budget is used up are too many."""
--- a/mastledge/transport/connection.py
+++ b/mastledge/transport/connection.py
@@ -5,6 +5,7 @@
 import socket
 from ipaddress import ip_address
 
+from mastledge.transport.budget import SHORT
 from mastledge.transport.buffer import Buffer
 from mastledge.transport.loop import READ, WRITE
 
@@ -98,7 +99,7 @@
         budget.give(kind)
         if error.errno not in FULL:
             raise
-        budget.evict("workers", "clients", "unfinished")
+        budget.evict(*SHORT)
         raise NoSocket from None
     conn = Connection(loop, sock, budget, kind)
     try:
@@ -137,5 +138,5 @@
             return None, False
         except OSError as error:
             # Whatever became of one connection that waited, the next ones must still be taken.
-            if error.errno not in FULL or not budget.evict("clients", "workers", "unfinished"):
+            if error.errno not in FULL or not budget.evict(*SHORT):
                 return None, True
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -5,6 +5,7 @@
 import pytest
 from helpers import HERE, Rig, client, door, job, queue_type
 
+from mastledge.protocol import clients
 from mastledge.transport.connection import listen
 
 BIG = b"y" * 70_000
@@ -13,9 +14,26 @@
 @pytest.mark.parametrize(("raw", "status", "left_open"), [
     (b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n", 200, True),
     (b"GET /health/live HTTP/1.1\r\nHost: h\r\n\r\n", 200, True),
-    (b"GET /nothing HTTP/1.1\r\nHost: h\r\n\r\n", 404, True),
-    (b"GET /render HTTP/1.1\r\nHost: h\r\n\r\n", 405, True),
-    (b"HEAD /health/live HTTP/1.1\r\nHost: h\r\n\r\n", 405, True),
+    (b"GET /nothing HTTP/1.1\r\nHost: h\r\n\r\n", 404, False),
+    (b"GET /render HTTP/1.1\r\nHost: h\r\n\r\n", 405, False),
+    (b"HEAD /health/live HTTP/1.1\r\nHost: h\r\n\r\n", 405, False),
+    # A second job in the body of a first one, and bodies that end elsewhere than stated.
+    (job(body=b"0\r\n\r\n" + job(), Transfer_Encoding="chunked"), 400, False),
+    (job(Content_Length=b"1, 2"), 400, False),
+    (job(body=b"xyz", Content_Length=1), 400, False),
+    (job(body=b"xyz", Content_Length=-3), 400, False),
+    (job(Content_Length=60_000_000), 413, False),
+    (job(Content_Length=None, Transfer_Encoding="gzip"), 400, False),
+    (job(Content_Length=None, Transfer_Encoding="chunked").replace(b"/1.1", b"/1.0"), 400, False),
+    (b"PRI * HTTP/2.0\r\nHost: h\r\n\r\n", 400, False),
+    # An id, a queue type or a walltime that cannot be used, or that two could read as two.
+    (job(X_Txn=""), 400, False),
+    (job(X_Txn="two words"), 400, False),
+    (job().replace(b"X-Txn: 9b1f", b"X-Txn: 9b1f\r\nX-Txn: 9b20"), 400, False),
+    (job(X_Lane="nothing"), 400, False),
+    (job(X_Remaining_Ms="1e3"), 400, False),
+    (job(X_Remaining_Ms="1_0"), 400, False),
+    (job(X_Remaining_Ms=""), 400, False),
     (b"no HTTP at all\r\n\r\n", 400, False),
     (b"GET / HTTP/1.1\r\nHost: h\r\nA: " + BIG, 413, False),
     (job(body=BIG), 413, False),
@@ -26,7 +44,7 @@
     (job(X_Remaining_Ms="-1"), 400, False),
     (job(X_Estimate="nan"), 400, False),
     (job("/store"), 400, False),
-], ids=range(15))
+], ids=range(30))
 def test_what_cannot_be_taken_is_answered_at_once(raw, status, left_open):
     rig = Rig()
     made = door(rig, [queue_type(name="render"), queue_type("deduplicated", name="store"),
@@ -123,13 +141,14 @@
 
 @pytest.mark.parametrize(("raw", "goes"), [(b"", True), (job()[:-1], True), (job(), False)],
                          ids=["idle", "unfinished", "taken"])
-def test_a_client_gives_way_until_its_job_is_taken(raw, goes):
+def test_a_client_gives_way_until_its_job_is_taken(raw, goes, monkeypatch):
     # Requests that never become whole could hold all descriptors otherwise.
+    monkeypatch.setattr(clients, "YOUNG", 0)
     rig = Rig(sockets=0)
     made = door(rig)
     theirs = client(rig, made)
     theirs.sendall(raw)
-    place = {job(): None, b"": "clients"}.get(raw, "unfinished")
+    place = {job(): None, b"": "unused"}.get(raw, "unfinished")
     assert rig.turn(lambda: rig.inbox.items if place is None else rig.budget.idle[place])
     if place == "unfinished":
         # Bytes that wait to be read keep it for a moment longer.
@@ -142,9 +161,53 @@
 def test_requests_sent_one_behind_the_other_are_answered_in_order():
     rig = Rig()
     theirs = client(rig, door(rig))
-    theirs.sendall(b"GET /nothing HTTP/1.1\r\nHost: h\r\n\r\nGET /health/live HTTP/1.1\r\nHost: h\r\n\r\n")
+    theirs.sendall(b"GET /health/live HTTP/1.1\r\nHost: h\r\n\r\nGET /nothing HTTP/1.1\r\nHost: h\r\n\r\n")
     reply = rig.reply(theirs)
-    assert 0 < reply.index(b" 404 ") < reply.index(b" 200 ")
+    assert 0 < reply.index(b" 200 ") < reply.index(b" 404 ")
+
+
+@pytest.mark.parametrize(("answered", "status"), [(None, b"409"), ("completed", b"409"), ("rejected", None)])
+def test_the_id_of_another_job_is_turned_away_and_that_job_goes_on(answered, status):
+    # Launched again under the same id it would be a second effect; only a rejected one may come again.
+    rig = Rig()
+    made = door(rig)
+    first, second = client(rig, made), client(rig, made)
+    first.sendall(job())
+    rig.turn(lambda: rig.inbox.items)
+    exchange = rig.inbox.items.popleft()[1]
+    if answered:
+        getattr(exchange, answered)(b"r" if answered == "completed" else 0)
+        rig.reply(first)
+    second.sendall(job())
+    if status is None:
+        assert rig.turn(lambda: rig.inbox.items)
+    else:
+        assert rig.reply(second).startswith(b"HTTP/1.1 " + status) and not rig.inbox.items
+        assert exchange.open == (answered is None)
+
+
+@pytest.mark.parametrize(("raw", "answer"), [
+    (b"", b""), (job()[:-1], b"HTTP/1.1 408 "), (b"POST /render HTTP/1.1\r\nA: ", b"HTTP/1.1 408 ")])
+def test_who_never_sends_a_whole_request_goes_in_time(raw, answer, monkeypatch):
+    # Bytes that come one by one must not prolong it, and who had an answer stays.
+    monkeypatch.setattr(clients, "WHOLE", 60_000)
+    rig = Rig()
+    made = door(rig)
+    usual, theirs = client(rig, made), client(rig, made)
+    usual.sendall(b"GET /health/live HTTP/1.1\r\nHost: h\r\n\r\n")
+    theirs.sendall(raw[:5])
+    assert rig.reply(usual).startswith(b"HTTP/1.1 200 ")
+    theirs.sendall(raw[5:])
+    assert rig.reply(theirs).startswith(answer)
+    rig.turn(lambda: len(made.clients) == 1, 500_000)
+    theirs.settimeout(1)
+    assert theirs.recv(1) == b"" and usual.send(b"G") and len(made.clients) >= 1 and not rig.inbox.items
+
+
+def test_one_walltime_without_end_does_not_move_that_of_others():
+    rig = Rig()
+    client(rig, door(rig)).sendall(job(X_Remaining_Ms=10**11))
+    assert rig.turn(lambda: rig.inbox.items) and rig.inbox.items[0][-1] == queue_type()["walltime"]
 
 
 @pytest.mark.parametrize("waiting", [0, 3])
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,6 +1,7 @@
 """Routing and the program round it."""
 
 import os
+import signal
 import socket
 
 import helpers
@@ -192,6 +193,37 @@
     assert program.can_serve(impatient) == can
 
 
+@pytest.mark.parametrize(("changed", "moves", "event"), [
+    ({"discovery": "127.0.0.1:8501"}, 1, "configuration"), ({}, 0, "configuration"),
+    ({"listen": "127.0.0.1:7071"}, 0, "configuration"), ({"seed": None}, 0, "configuration_kept"),
+    ({"settings": {}}, 0, "configuration_kept"), ({"limits": {"sockets": "x"}}, 0, "configuration_kept"),
+    (None, 0, "configuration_kept")])
+def test_a_new_configuration_moves_discovery_and_a_bad_one_changes_nothing(changed, moves, event, tmp_path):
+    # SIGHUP came under load and ended the program, with all that it had taken.
+    rig = Rig()
+    path = file(tmp_path, limits={"sockets": 64})
+    made = Program(configuration(path, {}), rig.log, lambda: configuration(path, {}))
+    made.discovery.follow()
+    task, size = made.discovery.task, made.budget.most["clients"]
+    reads, writes = os.pipe()
+    signals = made.loop.spawn(made.signals(reads))
+    made.life = made.loop.spawn(iter(()))
+    if changed is None:
+        os.remove(path)
+    else:
+        file(tmp_path, **{"limits": {"sockets": 128}, **changed})
+    for _ in range(2):
+        os.write(writes, bytes([signal.SIGHUP]))
+        made.loop.once(0)
+        made.loop.once(0)
+    assert (made.discovery.task is not task) == bool(moves) and not signals.ended
+    assert made.discovery.address == ("127.0.0.1", 8500 + moves) and task.ended == bool(moves)
+    assert [what for what, _ in rig.logged if what.startswith("configuration")] == 2 * [event]
+    assert (made.budget.most["clients"] > size) == (event == "configuration")
+    restart = next(fields for what, fields in rig.logged if what == event).get("needs_restart", [])
+    assert restart == (["listen"] if changed and "listen" in changed else [])
+
+
 @pytest.mark.parametrize("sent", [True, False])
 def test_a_launch_whose_carrying_out_fails_still_ends(sent):
     rig = Rig()
