Run-once jobs keep their last byte back until the connection is seen to hold

Ruled out: the time idle connections are kept (they ended right after an answer), workers in trouble (new connections to them came up).

Now the last byte follows 2 ms and a round trip later, before which no worker begins: a break until then is 'unsent' and the job goes elsewhere. Other jobs that break on a connection that stood idle, with no answer begun, end as 'dropped': may have run, but no worker is set aside for it. An id stays known for the walltime of its try also when its job was rejected: a bad client sent one again at once, six workers answered 400 and were set aside for that queue type.

--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -224,7 +224,7 @@
         if not launch.began and how in ("full", "revoked", "timeout"):
             # What never started waited longest, and would be missing where most of it is moved or refused.
             self.waits.append((self.slack if how == "full" else now - launch.sent, now))
-        if how not in ("timeout", "revoked", "unsent"):
+        if how not in ("timeout", "revoked", "unsent", "dropped"):
             self.judge(now, launch, how)
         if final and not job.closed:
             self.close(job)
--- a/mastledge/protocol/clients.py
+++ b/mastledge/protocol/clients.py
@@ -177,8 +177,6 @@
             if exchange.open:
                 exchange.open = False
                 self.inbox.put("abandoned", exchange)
-            elif exchange.harmless:
-                self.names.discard(exchange.name)
 
     def new(self, exchange):
         """Whether no job of this id was taken in the time that its client can wait for it."""
--- a/mastledge/protocol/requests.py
+++ b/mastledge/protocol/requests.py
@@ -22,16 +22,15 @@
     """One job's request, to be passed on as it came, and the way back to its client."""
 
     __slots__ = ("answer", "name", "kind", "method", "target", "headers", "body", "until", "open", "job",
-                 "harmless")
+                 "once")
 
     def __init__(self):
-        self.answer, self.open, self.job, self.harmless = None, True, None, False
+        self.answer, self.open, self.job, self.once = None, True, None, False
 
     def completed(self, result):
         self.finish(COMPLETED, [(b"content-type", b"application/octet-stream")], result)
 
     def rejected(self, hold_off):
-        self.harmless = True
         self.finish(REJECTED, [(b"retry-after", b"%.3f" % (hold_off / 1e6))] if hold_off else [], b"")
 
     def killed(self):
@@ -73,7 +72,7 @@
             patience = min(round(number(fields[b"x-remaining-ms"]) * 1000), patience)
         exchange = Exchange()
         exchange.name, exchange.kind = fields[b"x-txn"].decode("latin-1"), qt["name"]
-        exchange.until = now + patience
+        exchange.until, exchange.once = now + patience, qt["effect"] == "run-once"
         exchange.method, exchange.target, exchange.body = head.method, head.target, content
         exchange.headers = [(name, value) for name, value in head.headers
                             if name not in http.DROPPED and name != b"x-remaining-ms"]
--- a/mastledge/protocol/workers.py
+++ b/mastledge/protocol/workers.py
@@ -7,6 +7,7 @@
 from mastledge.transport.loop import READ
 
 RETIRED = 0.7  # of the time after which a worker may close an idle connection; a launch must not cross that
+REFUSED = 2_000  # beside a round trip, in which a connection that is dead already breaks at what is written
 TAIL = 1_000_000  # for the end of an answer whose last line has come
 REPORTED = {"inflight": "outstanding", "queue": "backlog", "util": "busy", "utilization": "busy",
             "x0": "free_slots", "x1": "free_memory"}
@@ -47,7 +48,7 @@
             conn.close()
             return
         conn.buffer.clear()
-        conn.owner = peer
+        conn.owner, conn.stood = peer, True
         task = self.loop.spawn(self.watch(peer, conn, self.loop.now() + self.keep))
         peer.idle.append((conn, task))
         self.budget.rest("workers", conn, lambda: self.dropped(peer, conn))
@@ -90,8 +91,9 @@
                 except TimedOut:
                     how = "timeout"
                 except (OSError, h11.RemoteProtocolError) as error:
-                    self.log("broken", worker=peer.id, why=str(error) or type(error).__name__)
-                    how = "lost"
+                    # One that stood idle may long have ended at the other side, in good health or not.
+                    how = "dropped" if conn.stood else "lost"
+                    self.log("broken", worker=peer.id, how=how, why=str(error) or type(error).__name__)
                 except (ValueError, http.TooLarge) as error:
                     self.log("malformed", worker=peer.id, why=str(error))
                     how = "error"
@@ -119,6 +121,12 @@
             headers = [(b"host", b"%s:%d" % (peer.address[0].encode(), peer.address[1])), *exchange.headers,
                        (b"x-remaining-ms", b"%d" % left), (b"content-length", b"%d" % len(exchange.body))]
             content = http.request(conn, exchange.method, exchange.target, headers, exchange.body)
+            if exchange.once:
+                # No worker begins before the last byte, and what broke before it may be launched again.
+                yield from conn.send(content[:-1], until)
+                if not (yield from conn.alive(REFUSED)):
+                    raise OSError("broke before the last byte")
+                content = content[-1:]
             yield from conn.send(content, until)
             launch.sent = done = True
             return conn, None
@@ -151,6 +159,7 @@
     def outcome(self, conn, launch, until):
         """How the launch ended, its result and the load report that came with it."""
         head = yield from http.head(conn, until)
+        conn.stood = False
         fields = dict(head.headers)
         report = self.report(fields.get(b"x-pressure", b""))
         if head.status_code != 200:
--- a/mastledge/transport/connection.py
+++ b/mastledge/transport/connection.py
@@ -3,11 +3,12 @@
 import errno
 import os
 import socket
+import sys
 from ipaddress import ip_address
 
 from mastledge.transport.budget import SHORT
 from mastledge.transport.buffer import Buffer
-from mastledge.transport.loop import READ, WRITE
+from mastledge.transport.loop import GONE, READ, WRITE
 
 FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
@@ -21,12 +22,13 @@
 
 
 class Connection:
-    __slots__ = ("loop", "sock", "fd", "budget", "kind", "buffer", "left", "http", "owner")
+    __slots__ = ("loop", "sock", "fd", "budget", "kind", "buffer", "left", "http", "owner", "stood")
 
     def __init__(self, loop, sock, budget, kind):
         """Takes over a socket for which the budget has been asked."""
         self.loop, self.sock, self.fd = loop, sock, sock.fileno()
         self.budget, self.kind, self.buffer, self.left = budget, kind, Buffer(), 0
+        self.stood = False  # idle, and nothing has come on it since
         self.http = self.owner = None  # the parser and the holder, for the layers above
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -62,6 +64,12 @@
             return False
         return False
 
+    def alive(self, least):
+        """Whether nothing came back for what was written, in the time that a machine needs to refuse it."""
+        info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 72)
+        rtt = int.from_bytes(info[68:72], sys.byteorder)
+        return not (yield (self.fd, READ | GONE, self.loop.now() + least + rtt))
+
     def end_sending(self):
         try:
             self.sock.shutdown(socket.SHUT_WR)
