Leaving serves who is connected to half time; running launches whose notes stop are moved

Checked: the restart comes 4.57 s after SIGTERM whenever the program ends, so ending earlier gains nothing.

Now connections are kept and served for half of the time until the end; the decisions are told the end, reject at once what cannot be done by then, and give up what is open in time, as a rejection where that is harmless (it was killed before). A started launch with no note for 1.25 times the notes' period is called off and launched anew, run-once jobs excepted.

--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -80,8 +80,8 @@
 
 
 class Launch:
-    __slots__ = ("job", "wkr", "n", "sent", "began", "load", "mean", "entry", "ended", "may_have_run",
-                 "revoked")
+    __slots__ = ("job", "wkr", "n", "sent", "began", "heard", "load", "mean", "entry", "ended",
+                 "may_have_run", "revoked")
 
 
 class Balancer:
@@ -100,7 +100,7 @@
         self.lag = Estimate(4.0 * settings["step"], 4.0 * settings["step"])
         self.keys, self.workers, self.ready, self.part, self.jobs = {}, {}, [], [], {}
         self.todo, self.stops, self.due, self.dues = deque(), deque(), [], 0
-        self.spare, self.tidy_at = 2.0, now
+        self.spare, self.tidy_at, self.over_at = 2.0, now, None
         self.following, self.fails, self.ask_at = settings["follow"] == "pushed", 0, None
         if not self.following:
             # Dispatchers restarted together must not ask in step.
@@ -152,10 +152,9 @@
         job.id, job.qt, job.key, job.hint = job_id, qt, key, hint
         job.tenant, job.arrived = tenant, now
         job.load = max(width, memory)
-        job.launches, job.out, job.closed, job.streaming = [], 0, False, False
-        job.again = False
+        job.launches, job.out, job.closed, job.streaming, job.again = [], 0, False, False, False
         # Two steps early: a timer is rung at a step's end, and the answer takes effect there.
-        job.last = now + max(0, patience - 2 * self.settings["step"])
+        job.last = min(now + max(0, patience - 2 * self.settings["step"]), self.over_at or now + patience)
         qt["most_patience"] = max(qt["most_patience"], patience)
         self.expect(job)
         aim = min(qt["target"] + int(qt["stretch"] * (hint or job.mean)), qt["walltime"])
@@ -171,6 +170,13 @@
         self.todo.append(job)
         self.remind(job.last, job)
 
+    def leaving(self, now, last):
+        """The host ends then: new jobs that cannot are turned away, and what is open is given up in time."""
+        self.over_at = last - 2 * self.settings["step"]
+        for job in self.jobs.values():
+            job.last = min(job.last, self.over_at)
+            self.remind(job.last, job)
+
     def find(self, job_id, n):
         job = self.jobs.get(job_id)
         return job.launches[n] if job is not None and n < len(job.launches) else None
@@ -180,7 +186,7 @@
         if launch is None or launch.began or launch.ended:
             return
         launch.began, wkr = now, launch.wkr
-        wkr.heard = now
+        launch.heard = wkr.heard = now
         if launch.entry is None:
             return
         lag = now - launch.sent
@@ -210,7 +216,7 @@
     def progress(self, now, job_id, n, share):
         launch = self.find(job_id, n)
         if launch is not None and not launch.ended:
-            launch.wkr.heard = now
+            launch.heard = launch.wkr.heard = now
 
     def ended(self, now, job_id, n, how, lag, final, report):
         job, launch = self.jobs.get(job_id), self.find(job_id, n)
@@ -425,7 +431,7 @@
         """The next step of one job, or None while it has to wait."""
         if job.streaming:
             return None
-        if now >= job.last:
+        if now + (job.mean + job.var if self.over_at and not job.launches else 0) >= job.last:
             return self.give_up(job, 0)
         again, job.again = job.again, False
         if job.out and not again:
@@ -687,6 +693,8 @@
         again = max(job.var, launch.mean / 2, (now - launch.sent) / 2, self.settings["step"])
         self.remind(now + int(again), launch)
         effect, parallel = job.qt["effect"], self.settings["parallel"]
+        # No note when one was due, while others of that worker may go on: it is the connection that is dead.
+        silent = launch.began and 0 < 5 * self.settings["progress_every"] < 4 * (now - launch.heard)
         waits = effect == "restartable" and not (parallel or launch.began) and self.settings["may_revoke"]
         late = now + job.mean * self.slowness(wkr, now) > job.target_at
         if waits and late and self.pressure > job.qt["late_utility"]:
@@ -696,7 +704,7 @@
             return
         if job.closed or launch.revoked or self.spare < 1 or job.out > 1 or effect == "run-once":
             return
-        if not parallel and (launch.began or not self.settings["may_revoke"]):
+        if not parallel and (launch.began and not silent or not self.settings["may_revoke"]):
             return
         if len(job.launches) + 2 > self.settings["launches"]:
             return
@@ -704,7 +712,7 @@
         if best is None or wait > 0:
             return
         there = now + job.mean * self.slowness(best, now)
-        if launch.began and not wkr.aside:
+        if launch.began and not wkr.aside and not silent:
             # As long again as it has run: the best guess for a job that outran its estimate.
             if now - launch.began < 2 * (job.mean + job.var):
                 return  # a hint is often this wrong, and a copy of a job that is about to end is waste
--- a/mastledge/program/phases.py
+++ b/mastledge/program/phases.py
@@ -152,16 +152,20 @@
         while not self.signalled:
             yield (-1, 0, None)
         told_at = loop.now()
+        last = told_at + min(self.walltime, LONGEST) + LAST
+        # The others may be ending too, so who is connected is served as long as what comes can still be done.
+        closing = max(told_at + ACCEPTING, (told_at + last) // 2)
         door.leaving = True
+        self.inbox.put("leaving", last)
         self.go(LEAVING)
-        while loop.now() < told_at + ACCEPTING:
-            yield (-1, 0, told_at + ACCEPTING)
+        while loop.now() < closing:
+            yield (-1, 0, closing)
         loop.cancel(listening)
+        door.closing = True
         door.last_call(self.sock)
         loop.forget(self.sock.fileno())
         self.sock.close()
         self.go(FINISHING)
-        last = told_at + min(self.walltime, LONGEST) + LAST
         while door.clients and loop.now() < last:
             door.close_all_idle()
             yield (-1, 0, loop.now() + LOOK)
--- a/mastledge/protocol/clients.py
+++ b/mastledge/protocol/clients.py
@@ -24,7 +24,8 @@
     def __init__(self, loop, budget, inbox, words, log):
         self.loop, self.budget, self.inbox, self.log = loop, budget, inbox, log
         self.requests, self.most_held = Requests(words), words["most_held"]
-        self.clients, self.ready, self.leaving, self.in_hand = set(), False, False, 0
+        self.clients, self.ready, self.in_hand = set(), False, 0
+        self.leaving = self.closing = False
         self.names, self.known = set(), deque()
 
     def listen(self, sock):
@@ -104,7 +105,7 @@
                 if 400 <= status < 500:
                     self.log("bad_request", status=status, why=content[:200].decode("latin-1"))
                 # Nothing that follows what could not be read, or not be used, can be trusted.
-                last = beyond or self.leaving or 400 <= status < 500
+                last = beyond or self.closing or 400 <= status < 500
                 yield from conn.send(http.answer(conn, status, headers, content, last), loop.now() + SLOW)
                 if last or not http.again(conn.http):
                     self.rests("unused", conn)
--- a/mastledge/routing/router.py
+++ b/mastledge/routing/router.py
@@ -113,6 +113,9 @@
     def on_probed(self, now, peer, how, lag, report):
         self.balancer.probed(now, peer, how, lag, report)
 
+    def on_leaving(self, now, last):
+        self.balancer.leaving(now, last)
+
     def on_over(self, now):
         """The program has to end: what is still open gets the answer that promises nothing."""
         for job in list(self.jobs.values()):
--- a/tests/test_picks.py
+++ b/tests/test_picks.py
@@ -88,6 +88,25 @@
     assert [d[0] for d in pull(made, 200_000 + STEP)] == [what]
 
 
+@pytest.mark.parametrize(("effect", "noted", "again"), [
+    ("restartable", 1_000_000, True), ("restartable", 1_900_000, False), ("deduplicated", 0, True),
+    ("run-once", 0, False)])
+def test_a_running_launch_whose_notes_stop_is_moved(effect, noted, again):
+    # Its connection may be dead while its worker goes on: it was waited for until the walltime was over.
+    made = balancer([queue_type(effect)])
+    arrive(made)
+    ((_, _, first, _),) = pull(made, 0)
+    made.started(10_000, 1, 0)
+    if noted:
+        made.progress(noted, 1, 0, 0.5)
+    seen = [d for now in range(100_000, 3_000_000, 100_000) for d in pull(made, now)]
+    assert seen == ([("revoke", 1, 0)] if again else [])
+    if again:
+        made.ended(3_000_000, 1, 0, "revoked", 3_000_000, False, ())
+        ((what, _, other, _),) = pull(made, 3_000_000)
+        assert what == "launch" and other != first
+
+
 @pytest.mark.parametrize(("why", "kept_out"), [(-1, True), (None, False)])
 def test_a_cut_off_zone_stays_set_aside_though_it_is_most_of_the_fleet(why, kept_out):
     made = balancer(workers=4)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,7 +1,7 @@
 """The four rules: each test builds a state and makes one call."""
 
 import pytest
-from helpers import arrive, balancer, entry, pull, queue_type
+from helpers import STEP, arrive, balancer, entry, pull, queue_type
 
 MAY_HAVE_RUN = ["error", "timeout", "lost", "revoked"]
 NEVER_RAN = ["full", "unreachable", "unsent"]
@@ -40,6 +40,19 @@
         assert made.workers[again[2]].zone == made.workers[first[2]].zone
 
 
+@pytest.mark.parametrize(("effect", "answer"), [("restartable", "reject"), ("run-once", "kill")])
+def test_a_host_that_ends_gets_its_answers_in_time_and_takes_only_what_fits(effect, answer):
+    # Killed at the end, jobs that could be sent again safely were lost to their clients.
+    made = balancer([queue_type(effect)])
+    arrive(made)
+    pull(made, 0)
+    made.leaving(10_000, 500_000)
+    arrive(made, 10_000, job=2, hint=5_000_000)
+    arrive(made, 10_000, job=3, hint=50_000)
+    assert [d[:2] for d in pull(made, 10_000)][0] == ("reject", 2) and 3 in made.jobs
+    assert (answer, 1) in [d[:2] for d in pull(made, 500_000 - 2 * STEP)]
+
+
 @pytest.mark.parametrize("state", ["draining", "gone"])
 def test_nothing_new_goes_to_a_leaving_worker(state):
     made = balancer(workers=1)
