Bodies are bounded in memory together, and a sender at full speed is read once a turn

Now stated lengths (64 KiB where chunked) count against an eighth of the memory until the answer; unfinished ones go for others, oldest first, and who finds no room is rejected untouched. A connection is read once a turn of the loop, a body has 1,024 chunks at most, no_room carries Retry-After where the settings allow. Tests fail without each.

--- a/mastledge/program/configuration.py
+++ b/mastledge/program/configuration.py
@@ -11,7 +11,7 @@
 
 
 def part(told, name, kind, absent=None):
-    value = told.get(name, absent)
+    value = absent if told.get(name) is None else told[name]
     if value is None:
         raise BadConfiguration(f"{name} is missing")
     if not isinstance(value, kind):
@@ -44,6 +44,7 @@
         out["seed"] = seed_of(part(told, "seed", str))
         limits = part(told, "limits", dict, {})
         out["sockets"] = int(part(limits, "sockets", int, 1024))
+        out["memory"] = part(limits, "memory_mb", int, 256) << 20
         out["known"] = part(told, "known", dict, {})
         out["settings"] = plain_map(flat(part(told, "settings", dict)))
     except ValueError as error:  # bad settings and addresses are such
--- a/mastledge/program/phases.py
+++ b/mastledge/program/phases.py
@@ -42,12 +42,14 @@
         self.told, self.log, self.phase, self.read_again = told, log, STARTING, read_again
         self.loop = loop = Loop(self.fault)
         settings = told["settings"]
-        self.budget = Budget(descriptors(told["sockets"]))
+        self.budget = Budget(descriptors(told["sockets"]), told["memory"])
         self.inbox = inbox = Queue(loop)
         words = {"queue_types": [dict(qt) for qt in settings["queue_types"]],
                  "tenants": [tenant["name"] for tenant in settings["tenants"]],
                  "zones": settings["zones"], "kinds": settings["kinds"],
-                 "most_held": settings["most_held"], "unix_now": time.time_ns() // 1000}
+                 "most_held": settings["most_held"],
+                 "hold_off": settings["most_hold_off"] if settings["may_hold_off"] else 0,
+                 "unix_now": time.time_ns() // 1000}
         self.walltime = max(qt["walltime"] for qt in settings["queue_types"])
         self.discovery = Discovery(loop, self.budget, inbox, told["discovery"], words, log)
         self.workers = Workers(loop, self.budget, inbox, settings, log)
@@ -118,7 +120,7 @@
         """Takes over from the file what can change under load; workers, jobs and what was learned stay."""
         try:
             told = self.read_again()
-            self.budget.resize(descriptors(told["sockets"]))
+            self.budget.resize(descriptors(told["sockets"]), told["memory"])
         except Exception as error:
             # Whoever replaces a file under load must not end the service with a slip in it.
             self.log("configuration_kept", why=str(error) or type(error).__name__)
--- a/mastledge/protocol/clients.py
+++ b/mastledge/protocol/clients.py
@@ -14,6 +14,7 @@
 SLOW = 5_000_000  # an answer that its client does not read is held for this long
 IDLE = 120_000_000
 YOUNG = 200_000
+PATIENCE = 250_000  # after which it may come again where there was no room for it
 PAUSE = 20_000  # where descriptors are short
 LINGER = 1_000_000  # what is still under way is read, or closing would reset the answer to it
 
@@ -26,6 +27,8 @@
         self.requests, self.most_held = Requests(words), words["most_held"]
         self.clients, self.ready, self.in_hand = set(), False, 0
         self.leaving = self.closing = False
+        hold_off = min(words["hold_off"], PATIENCE)
+        self.no_room = REJECTED, [(b"retry-after", b"%.3f" % (hold_off / 1e6))] if hold_off else [], b""
         self.names, self.known = set(), deque()
 
     def listen(self, sock):
@@ -105,7 +108,7 @@
                 if 400 <= status < 500:
                     self.log("bad_request", status=status, why=content[:200].decode("latin-1"))
                 # Nothing that follows what could not be read, or not be used, can be trusted.
-                last = beyond or self.closing or 400 <= status < 500
+                last = beyond or self.closing or 400 <= status < 500 or conn.http.their_state is not h11.DONE
                 yield from conn.send(http.answer(conn, status, headers, content, last), loop.now() + SLOW)
                 if last or not http.again(conn.http):
                     self.rests("unused", conn)
@@ -142,10 +145,21 @@
             head = yield from http.event(conn, until)
             if isinstance(head, h11.ConnectionClosed):
                 return None
-            http.framed(head)
-            content = yield from http.body(conn, until)
+            size = http.framed(head)
+            self.rests(None, conn)
+            if not self.budget.hold(size):
+                self.log("no_memory", held=self.budget.bytes, clients=len(self.clients))
+                return self.no_room
+            try:
+                self.rests("unfinished", conn)
+                content = yield from http.body(conn, until)
+                return (yield from self.whole(conn, head, content, beyond))
+            finally:
+                self.budget.bytes -= size
         except TimedOut:
             raise BadRequest(408, "request not complete in time") from None
+
+    def whole(self, conn, head, content, beyond):
         self.rests(None, conn)
         if not http.next_begins(conn):
             # A length that is too small cuts a body off, and its rest would be read as the next request.
@@ -165,7 +179,7 @@
         if beyond or self.in_hand >= self.most_held:
             # Nothing of it was sent anywhere, so trying again is harmless.
             self.log("no_room", job=exchange.name, clients=len(self.clients))
-            return REJECTED, [], b""
+            return self.no_room
         self.in_hand += 1
         self.names.add(exchange.name)
         self.known.append((exchange.until, exchange.name))
--- a/mastledge/protocol/http.py
+++ b/mastledge/protocol/http.py
@@ -7,6 +7,7 @@
 
 MOST_BODY = 64 * 1024
 MOST_HEAD = 32 * 1024
+MOST_CHUNKS = 1024  # of one body: a byte in each costs a hundred times its worth to read
 MOST_LINE = 8 * MOST_BODY  # a result is text inside JSON, where a byte may take six
 # What speaks of one connection only, or is said anew on the next one.
 DROPPED = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
@@ -39,15 +40,16 @@
 
 
 def framed(head):
-    """Turns away what another reader could bound otherwise than h11: its body may hide a second request."""
+    """The most its body can hold. Refuses what others could bound otherwise: it may hide a second request."""
     names = [name for name, _ in head.headers]
     if head.http_version not in (b"1.0", b"1.1"):
         raise h11.RemoteProtocolError("no HTTP/1.1")
     if b"transfer-encoding" in names and (b"content-length" in names or head.http_version == b"1.0"):
         raise h11.RemoteProtocolError("Transfer-Encoding beside another length")
-    for name, value in head.headers:
-        if name == b"content-length" and int(value) > MOST_BODY:
-            raise TooLarge
+    size = next((int(value) for name, value in head.headers if name == b"content-length"), 0)
+    if size > MOST_BODY:
+        raise TooLarge
+    return MOST_BODY if b"transfer-encoding" in names else size
 
 
 def next_begins(conn):
@@ -65,13 +67,15 @@
 def body(conn, until):
     """A whole body, in the connection's buffer until it is complete."""
     conn.buffer.clear()
+    chunks = 0
     while True:
         got = yield from event(conn, until)
         if isinstance(got, h11.EndOfMessage):
             return conn.buffer.take()
         if isinstance(got, h11.Data):
             conn.buffer.keep(got.data)
-            if len(conn.buffer) > MOST_BODY:
+            chunks += got.chunk_start
+            if len(conn.buffer) > MOST_BODY or chunks > MOST_CHUNKS:
                 raise TooLarge
         else:
             raise h11.RemoteProtocolError(f"{type(got).__name__} inside a body")
--- a/mastledge/transport/budget.py
+++ b/mastledge/transport/budget.py
@@ -1,4 +1,7 @@
-"""Descriptors shared out over clients, workers and discovery; idle connections give way first."""
+"""Descriptors shared out over clients, workers and discovery, and memory for what clients send.
+
+Idle connections give way first.
+"""
 
 SPARE = 16  # standard streams, epoll, wake-up, listener, and a few to answer with when all is full
 # Who goes for a new one, in this order: clients that never said all of it before those that had an answer.
@@ -8,12 +11,15 @@
 
 
 class Budget:
-    def __init__(self, sockets):
-        self.resize(sockets)
+    def __init__(self, sockets, memory):
+        self.resize(sockets, memory)
+        self.bytes = 0
         self.used = dict.fromkeys(self.most, 0)
         self.idle = {kind: {} for kind in SHORT}
 
-    def resize(self, sockets):
+    def resize(self, sockets, memory):
+        # A body is held once as it came and once on its way to a worker, in room that grows by doubling.
+        self.most_bytes = memory // 8
         total = max(8, sockets - SPARE)
         # A client in hand needs a worker's connection, and some of those are still ending their last answer.
         clients = total * 12 // 25
@@ -30,6 +36,14 @@
         self.used[kind] += 1
         return True
 
+    def hold(self, size):
+        """Whether there is memory for so much of a request; those that never become whole go for it."""
+        while self.bytes + size > self.most_bytes:
+            if not self.evict("unfinished"):
+                return False
+        self.bytes += size
+        return True
+
     def give(self, kind):
         self.used[kind] -= 1
 
--- a/mastledge/transport/connection.py
+++ b/mastledge/transport/connection.py
@@ -22,12 +22,13 @@
 
 
 class Connection:
-    __slots__ = ("loop", "sock", "fd", "budget", "kind", "buffer", "left", "http", "owner", "stood")
+    __slots__ = ("loop", "sock", "fd", "budget", "kind", "buffer", "left", "http", "owner", "stood", "turn")
 
     def __init__(self, loop, sock, budget, kind):
         """Takes over a socket for which the budget has been asked."""
         self.loop, self.sock, self.fd = loop, sock, sock.fileno()
         self.budget, self.kind, self.buffer, self.left = budget, kind, Buffer(), 0
+        self.turn = -1  # of the loop, in which it was read last
         self.stood = False  # idle, and nothing has come on it since
         self.http = self.owner = None  # the parser and the holder, for the layers above
         sock.setblocking(False)
@@ -36,10 +37,13 @@
     def receive(self, until):
         """The next bytes, b"" at the end; raises OSError when the connection breaks."""
         while True:
-            try:
-                return self.buffer.receive(self.sock)
-            except BlockingIOError:
-                pass
+            # Once a turn: who sends at full speed must not hold up all the others.
+            if self.turn != self.loop.turns:
+                self.turn = self.loop.turns
+                try:
+                    return self.buffer.receive(self.sock)
+                except BlockingIOError:
+                    pass
             if not (yield (self.fd, READ, until)):
                 raise TimedOut
 
--- a/mastledge/transport/loop.py
+++ b/mastledge/transport/loop.py
@@ -26,7 +26,7 @@
         self.on_error = on_error
         self.waiters, self.masks = {}, {}
         self.ready, self.timers, self.pushes, self.stale = deque(), [], 0, 0
-        self.running = True
+        self.running, self.turns = True, 0
 
     @staticmethod
     def now():
@@ -125,6 +125,7 @@
                 continue
             self.step(task, value.popleft() if value is task.mail else value)
         self.tidy()
+        self.turns += 1
         timers = self.timers
         while timers and timers[0][3] != timers[0][2].turn:
             heappop(timers)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -57,10 +57,10 @@
 class Rig:
     """A loop with its queue and budget, and what was logged."""
 
-    def __init__(self, sockets=64):
+    def __init__(self, sockets=64, memory=1 << 26):
         self.errors, self.logged = [], []
         self.loop = Loop(self.errors.append)
-        self.inbox, self.budget = Queue(self.loop), Budget(sockets)
+        self.inbox, self.budget = Queue(self.loop), Budget(sockets, memory)
 
     def log(self, event, **fields):
         self.logged.append((event, fields))
@@ -121,7 +121,7 @@
 
 def door(rig, types=None, most_held=100):
     types = types or [queue_type(name="render")]
-    words = {"queue_types": types, "tenants": ["a", "b"], "most_held": most_held}
+    words = {"queue_types": types, "tenants": ["a", "b"], "most_held": most_held, "hold_off": 2_000_000}
     made = Door(rig.loop, rig.budget, rig.inbox, words, rig.log)
     made.ready = True
     return made
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -115,7 +115,32 @@
     rig = Rig()
     theirs = client(rig, door(rig, most_held=most_held), beyond)
     theirs.sendall(job())
-    assert rig.reply(theirs).startswith(b"HTTP/1.1 503 ") and not rig.inbox.items
+    reply = rig.reply(theirs)
+    assert reply.startswith(b"HTTP/1.1 503 ") and b"retry-after: 0.250" in reply and not rig.inbox.items
+
+
+def test_bodies_that_never_end_leave_memory_to_whole_ones(monkeypatch):
+    # Hundreds of them could fill it otherwise; the oldest go, and who finds no room is rejected untouched.
+    monkeypatch.setattr(clients, "YOUNG", 0)
+    rig = Rig(memory=8 * 100_000)
+    made = door(rig)
+    slow, usual = client(rig, made), client(rig, made)
+    slow.sendall(job(body=b"y" * 60_000)[:30_000])
+    assert rig.turn(lambda: rig.budget.bytes == 60_000 and all(conn.quiet() for conn in made.clients))
+    usual.sendall(job(body=b"x" * 50_000))
+    assert rig.turn(lambda: rig.inbox.items) and rig.budget.bytes == 50_000 and len(made.clients) == 1
+    late = client(rig, made)
+    late.sendall(job(body=b"z" * 60_000, X_Txn="9b20"))
+    assert rig.reply(late).startswith(b"HTTP/1.1 503 ")
+    rig.inbox.items[0][1].killed()
+    assert rig.reply(usual).startswith(b"HTTP/1.1 500 ") and rig.budget.bytes == 0 and not rig.errors
+
+
+def test_a_body_of_countless_chunks_is_turned_away():
+    rig = Rig()
+    theirs = client(rig, door(rig))
+    theirs.sendall(job(body=b"1\r\nx\r\n" * 2_000, Content_Length=None, Transfer_Encoding="chunked"))
+    assert rig.reply(theirs).startswith(b"HTTP/1.1 413 ") and not rig.inbox.items
 
 
 def test_answers_of_a_leaving_dispatcher_end_their_connections():
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -152,6 +152,20 @@
     assert seen == ["ended"] and len(rig.errors) == 1 and not rig.loop.waiters
 
 
+def test_a_sender_at_full_speed_is_read_once_a_turn():
+    # Read until nothing was left, a body of 60 MB or of countless chunks held up all other connections.
+    rig = Rig()
+    conn, theirs = rig.pair()
+    theirs.sendall(bytes(40_000))
+    rig.turn(lambda: not conn.quiet())
+    with pytest.raises(StopIteration) as first:
+        next(conn.receive(None))
+    assert first.value.value and next(conn.receive(7)) == (conn.fd, READ, 7)
+    rig.loop.once(0)
+    with pytest.raises(StopIteration):
+        next(conn.receive(None))
+
+
 def test_nobody_at_the_door_is_no_reason_to_pause():
     sock = listen((HERE, 0))
     assert accept(sock, Rig().budget) == (None, False)
