Run-once jobs get new connections while kept ones break; who turns a type away is set aside

Six deduplicated jobs that may have run were killed at their target since their zone's three workers were set aside at that moment. Ruled out: overload (other types start at once on the same workers), the way to the worker (a longer hold saved none).

Now the share of launches that break on connections that stood idle is counted; above one in 64 run-once jobs open new ones. A worker that turns a type away is set aside for it as for an error; such a trial costs no job, so run-once jobs wait no longer for it. A deduplicated job that may have run waits for its group instead of being killed at its target.

--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -186,8 +186,7 @@
         launch.heard = wkr.heard = now
         if launch.entry is None:
             return
-        lag = now - launch.sent
-        wkr.running += launch.load
+        lag, wkr.running = now - launch.sent, wkr.running + launch.load
         step = self.settings["step"]
         quick = wkr.quick = min(lag, wkr.quick + (wkr.quick >> 9)) if wkr.quick else min(lag, 2 * step)
         # Rises slowly and starts low, or a dispatcher that starts under overload takes queues for the usual.
@@ -316,13 +315,14 @@
             wkr.heard = now
             self.set_aside(wkr, qt["n"], launch, now)
         elif how == "full":
-            wkr.heard = wkr.extra_at = now
-            wkr.extra = 2 * wkr.slots
+            wkr.heard, wkr.extra, wkr.extra_at = now, 2 * wkr.slots, now
+            self.set_aside(wkr, qt["n"], launch, now)
         elif how in ("unreachable", "lost"):
             self.set_aside(wkr, CUT_OFF if how == "unreachable" else None, launch, now)
 
     def set_aside(self, wkr, why, launch, now):
-        aside, dear = wkr.aside.get(why), 4 if launch.job.qt["effect"] == "run-once" else 1
+        dear = 4 if launch.may_have_run and launch.job.qt["effect"] == "run-once" else 1
+        aside = wkr.aside.get(why)
         if aside is None:
             aside = wkr.aside[why] = Aside()
             aside.pause = dear * 125_000
@@ -447,7 +447,7 @@
         if best is None:
             if job.out:
                 return None
-            if now >= max(job.target_at, job.arrived + self.settings["connect_timeout"]):
+            if group is None and now >= max(job.target_at, job.arrived + self.settings["connect_timeout"]):
                 return self.give_up(job, self.settings["connect_timeout"])
             self.remind(now + 5 * self.settings["step"], job)
             return None
--- a/mastledge/protocol/workers.py
+++ b/mastledge/protocol/workers.py
@@ -8,6 +8,8 @@
 
 RETIRED = 0.7  # of the time after which a worker may close an idle connection; a launch must not cross that
 REFUSED = 2_000  # beside a round trip, in which a connection that is dead already breaks at what is written
+BREAKS = 1 / 64  # of the launches on connections that stood idle; above, run-once jobs get new ones
+GAIN = 1 / 32
 TAIL = 1_000_000  # for the end of an answer whose last line has come
 REPORTED = {"inflight": "outstanding", "queue": "backlog", "util": "busy", "utilization": "busy",
             "x0": "free_slots", "x1": "free_memory"}
@@ -28,11 +30,16 @@
         self.connect_timeout = settings["connect_timeout"]
         self.keep = int(settings["conn_idle"] * RETIRED)
         self.fields = settings["report_fields"]
+        self.breaks = 0.0
 
     # Idle connections
 
-    def taken(self, peer):
+    def taken(self, peer, once):
         """The connection used last: the others get old and go."""
+        if once and self.breaks > BREAKS:
+            # Some break at the last byte, too late to tell that nothing ran. In time they are tried again.
+            self.breaks -= GAIN / 2 * self.breaks
+            return None
         while peer.idle:
             conn, task = peer.idle.pop()
             self.budget.busy("workers", conn)
@@ -93,6 +100,7 @@
                 except (OSError, h11.RemoteProtocolError) as error:
                     # One that stood idle may long have ended at the other side, in good health or not.
                     how = "dropped" if conn.stood else "lost"
+                    self.held(conn, False)
                     self.log("broken", worker=peer.id, how=how, why=str(error) or type(error).__name__)
                 except (ValueError, http.TooLarge) as error:
                     self.log("malformed", worker=peer.id, why=str(error))
@@ -110,7 +118,7 @@
 
     def sent(self, peer, launch, exchange, until):
         """The connection on which the whole request was written, or None and how the launch ended."""
-        loop, conn, done = self.loop, self.taken(peer), False
+        loop, conn, done = self.loop, self.taken(peer, exchange.once), False
         fresh = conn is None
         try:
             if fresh:
@@ -137,6 +145,8 @@
             # Not all of it was written, so it cannot have run. That a connection which stood idle breaks,
             # or that the job's time was too short to connect, says nothing of the worker.
             self.log("not_sent", worker=peer.id, why=str(error) or "timed out")
+            if conn is not None and loop.now() < until:
+                self.held(conn, False)
             if not fresh or loop.now() >= until:
                 return None, "unsent"
             # What stands idle to a machine that takes no connection would only swallow the next launch.
@@ -146,6 +156,12 @@
             if conn is not None and not done:
                 conn.close()
 
+    def held(self, conn, well):
+        """How often connections that stood idle break at the next launch."""
+        if conn.stood:
+            conn.stood = False
+            self.breaks += GAIN * ((not well) - self.breaks)
+
     def ended_well(self, conn):
         try:
             until = self.loop.now() + TAIL
@@ -159,7 +175,7 @@
     def outcome(self, conn, launch, until):
         """How the launch ended, its result and the load report that came with it."""
         head = yield from http.head(conn, until)
-        conn.stood = False
+        self.held(conn, True)
         fields = dict(head.headers)
         report = self.report(fields.get(b"x-pressure", b""))
         if head.status_code != 200:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -40,6 +40,21 @@
         assert made.workers[again[2]].zone == made.workers[first[2]].zone
 
 
+def test_a_deduplicated_job_that_may_have_run_waits_for_its_group():
+    # Killed at its target because all its group was set aside for a moment, it left its client in doubt.
+    made = balancer([queue_type("deduplicated")])
+    arrive(made)
+    ((_, _, first, _),) = pull(made, 0)
+    launch = made.jobs[1].launches[0]
+    made.ended(500_000, 1, 0, "lost", 500_000, False, ())
+    for wkr in made.ready:
+        if wkr.zone == launch.wkr.zone:
+            made.set_aside(wkr, None, launch, 500_000)
+    assert pull(made, 500_000) == []
+    ((what, _, other, _),) = [d for now in range(520_000, 900_000, 20_000) for d in pull(made, now)]
+    assert what == "launch" and other != first and other % 2 == first % 2
+
+
 @pytest.mark.parametrize(("effect", "answer"), [("restartable", "reject"), ("run-once", "kill")])
 def test_a_host_that_ends_gets_its_answers_in_time(effect, answer):
     # Killed at the end, jobs that could be sent again safely were lost to their clients.
