Launches on dead connections no longer weigh on their workers

Ruled out: queues and slow workers (heads would have come), stale connections (hit no more than new ones), a check before the last byte ('100 Continue' came on all). At fault: off() was called at the end only, so such a launch weighed on its worker until the walltime, and extra() took it for a queue; ended() then counted a wait of 15 s.

Now the host tells 'silent' while no head has come in the connect time-out; where the worker was heard since, the launch is taken out of the curve. The same for running run-once launches after two periods without notes.

--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -146,9 +146,8 @@
 
     def arrived(self, now, job_id, qtype, hint, key, width, memory, tenant, patience):
         job, qt = Job(), self.queue_types[qtype]
-        job.id, job.qt, job.key, job.hint = job_id, qt, key, hint
+        job.id, job.qt, job.key, job.hint, job.load = job_id, qt, key, hint, max(width, memory)
         job.tenant, job.arrived = tenant, now
-        job.load = max(width, memory)
         job.launches, job.out, job.closed, job.streaming, job.again = [], 0, False, False, False
         # Two steps early: a timer is rung at a step's end, and the answer takes effect there.
         job.last = min(now + max(0, patience - 2 * self.settings["step"]), self.over_at or now + patience)
@@ -199,7 +198,6 @@
             self.stops.extend(other for other in job.launches if not other.began and not other.ended)
         self.waits.append((max(0, wait), now))
         if wait > 0:
-            # What made it wait is load that this dispatcher cannot see.
             wkr.slots += GAIN * (max(wkr.peak, wkr.running) - wkr.slots)
             extra = max(0.0, wkr.slots - wkr.running) + wait * wkr.slots / self.run.mean / 2
         else:
@@ -214,6 +212,12 @@
         if launch is not None and not launch.ended:
             launch.heard = launch.wkr.heard = now
 
+    def silent(self, now, job_id, n):
+        launch = self.find(job_id, n)
+        # Others are heard: its connection is dead, and it must not be taken for a queue until its walltime.
+        if launch is not None and launch.entry is not None and launch.wkr.heard > launch.heard:
+            self.off(launch)
+
     def ended(self, now, job_id, n, how, lag, final, report):
         job, launch = self.jobs.get(job_id), self.find(job_id, n)
         if launch is None or launch.ended:
@@ -223,9 +227,9 @@
         launch.may_have_run = how not in NEVER_RAN
         if launch.entry is not None:
             self.off(launch)
-        if not launch.began and how in ("full", "revoked", "timeout"):
-            # What never started waited longest, and would be missing where most of it is moved or refused.
-            self.waits.append((self.slack if how == "full" else now - launch.sent, now))
+            if not launch.began and how in ("full", "revoked", "timeout"):
+                # What never started waited longest, and would be missing where most is moved or refused.
+                self.waits.append((self.slack if how == "full" else now - launch.sent, now))
         if how not in ("timeout", "revoked", "unsent", "dropped"):
             self.judge(now, launch, how)
         if final and not job.closed:
@@ -288,7 +292,6 @@
                 self.keys[job.key] = known
             job.mean, job.var = known.mean, SPREAD * known.var
         elif job.hint:
-            # Without keys each job is a new key of its own.
             job.mean, job.var = job.hint * qt["ratio"].mean, SPREAD * job.hint * qt["ratio"].var
         else:
             job.mean, job.var = qt["run"].mean, SPREAD * qt["run"].var
@@ -564,7 +567,6 @@
     def contention(wkr, now, span, load, var, extra):
         above = wkr.load + load + extra - max(wkr.slots, load)
         over, at, area = 0.0, 0, (load + extra) * span
-        # An overdue job counts until now plus the variation.
         ends = [(min(end - now if end > now else int(var), span), width) for end, _, width in wkr.curve]
         if above > 0:
             ends.sort()
@@ -621,11 +623,10 @@
         self.survey()
         # Learned slowness fades: a worker avoided for it is never measured again otherwise.
         fade = min(1.0, 1_000_000 / (16 * self.run.mean + 1))
-        if self.ready:
-            mean = sum(wkr.slow for wkr in self.ready) / len(self.ready)
-            for wkr in self.ready:
-                wkr.slow /= mean
-                wkr.slow += fade * (1.0 - wkr.slow)
+        mean = sum(wkr.slow for wkr in self.ready) / max(1, len(self.ready))
+        for wkr in self.ready:
+            wkr.slow /= mean
+            wkr.slow += fade * (1.0 - wkr.slow)
 
     def survey(self):
         """Figures over the whole fleet, once a second: taken for each job they cost more than deciding."""
@@ -641,9 +642,8 @@
         # it comes again, and each job costs a connection. Parts differ, so all workers are in some.
         size = max(PART, min(int(rate * settings["conn_idle"] / 2e6), self.look))
         self.beyond, size = size < len(ready), min(size, len(ready))
-        part = ready
-        if self.beyond:
-            part = [wkr for wkr in self.part if wkr.state == "ready" and not wkr.aside][:size]
+        kept = [wkr for wkr in self.part if wkr.state == "ready" and not wkr.aside][:size]
+        part = kept if self.beyond else ready
         for _ in range(8 * size):
             if len(part) >= size:
                 break
@@ -656,8 +656,8 @@
     def launch(self, job, wkr, now):
         launch = Launch()
         launch.job, launch.wkr, launch.n, launch.sent = job, wkr, len(job.launches), now
-        launch.load, launch.mean, launch.began = job.load, job.mean, 0
-        launch.ended, launch.may_have_run, launch.revoked = False, False, False
+        launch.load, launch.mean, launch.began, launch.heard = job.load, job.mean, 0, now
+        launch.ended = launch.may_have_run = launch.revoked = False
         end = now + int((job.mean + job.var) * self.slowness(wkr, now))
         self.dues += 1
         launch.entry = (end, self.dues, job.load)
@@ -670,7 +670,6 @@
             wkr.credit -= (job.hint or job.mean) * job.load
             wkr.draw, wkr.drawn_at = self.chance(), now
         # Not started by the time that a free worker takes to start one: load that is not seen is in its way.
-        # A copy is work done twice, a move is not, so a copy has to wait longer.
         slack = job.target_at - now - job.mean * self.slowness(wkr, now)
         part = 2 if self.settings["parallel"] else 3
         soon = now + int(max(3 * (wkr.quick or 0) + 4 * self.settings["step"], slack / part))
@@ -701,6 +700,8 @@
             job.last = now
             self.todo.append(job)
             return
+        if silent and effect == "run-once" and now - launch.heard > 2 * self.settings["progress_every"]:
+            self.silent(now, job.id, launch.n)
         if job.closed or launch.revoked or self.spare < 1 or job.out > 1 or effect == "run-once":
             return
         if not parallel and (launch.began and not silent or not self.settings["may_revoke"]):
--- a/mastledge/protocol/workers.py
+++ b/mastledge/protocol/workers.py
@@ -30,6 +30,7 @@
         self.connect_timeout = settings["connect_timeout"]
         self.keep = int(settings["conn_idle"] * RETIRED)
         self.fields = settings["report_fields"]
+        self.patience = max(self.connect_timeout, 100_000)
         self.breaks = 0.0
 
     # Idle connections
@@ -86,7 +87,7 @@
     # Launches
 
     def launch(self, peer, launch, exchange, until):
-        """Runs a launch, of which it uses `name` and `sent`; tells `started`, `progress` and one `ended`."""
+        """Runs a launch, of which it uses `name` and `sent`; tells what is heard of it, and one `ended`."""
         conn = result = None
         report, whole = (), False
         try:
@@ -174,7 +175,15 @@
 
     def outcome(self, conn, launch, until):
         """How the launch ended, its result and the load report that came with it."""
-        head = yield from http.head(conn, until)
+        while True:
+            try:
+                head = yield from http.head(conn, min(until, self.loop.now() + self.patience))
+                break
+            except TimedOut:
+                # A worker tells at once that it has taken a job, also where that has to wait there.
+                if self.loop.now() >= until:
+                    raise
+                self.inbox.put("silent", launch)
         self.held(conn, True)
         fields = dict(head.headers)
         report = self.report(fields.get(b"x-pressure", b""))
--- a/mastledge/routing/router.py
+++ b/mastledge/routing/router.py
@@ -90,6 +90,9 @@
         launch.began = now
         self.balancer.started(now, launch.job.id, launch.n)
 
+    def on_silent(self, now, launch):
+        self.balancer.silent(now, launch.job.id, launch.n)
+
     def on_progress(self, now, launch, share):
         self.balancer.progress(now, launch.job.id, launch.n, share)
 
--- a/tests/test_picks.py
+++ b/tests/test_picks.py
@@ -128,6 +128,29 @@
         assert what == "launch" and other != first
 
 
+@pytest.mark.parametrize("began", [0, 10_000])
+@pytest.mark.parametrize("heard", [True, False])
+def test_a_dead_connection_is_no_load_while_its_worker_is_heard(began, heard):
+    # A run-once job on one weighed on its worker until its walltime, as one that runs or as a queue.
+    made = balancer([queue_type("run-once")])
+    arrive(made, patience=15_000_000)
+    pull(made, 0)
+    wkr = made.jobs[1].launches[0].wkr
+    if began:
+        made.started(began, 1, 0)
+    if heard:
+        wkr.heard = 2_900_000
+    if began:
+        pull(made, 3_000_000)
+    else:
+        made.silent(3_000_000, 1, 0)
+    assert (wkr.load, len(wkr.curve), made.extra(wkr, 3_000_000)) == (0, 0, 0.0) or not heard
+    assert len(wkr.curve) == (not heard) and made.jobs[1].out == 1
+    waits = len(made.waits)
+    made.ended(15_000_000, 1, 0, "revoked", 15_000_000, False, ())
+    assert len(made.waits) == waits + (not heard and not began)
+
+
 @pytest.mark.parametrize(("why", "kept_out"), [(-1, True), (None, False)])
 def test_a_cut_off_zone_stays_set_aside_though_it_is_most_of_the_fleet(why, kept_out):
     made = balancer(workers=4)
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -89,6 +89,20 @@
     assert len(peer.idle) == bool(kept) == rig.budget.used["workers"] and not rig.errors
 
 
+def test_a_launch_that_a_worker_does_not_even_take_is_told_as_silent():
+    # Its connection may be dead: until its walltime it was taken for a job in a long queue.
+    rig = Rig()
+    peer, sock = peer_at()
+    made = workers(rig)
+    made.patience = 20_000
+    launch = launched(rig, made, peer)
+    theirs, _ = rig.called(sock)
+    assert rig.turn(lambda: len(rig.inbox.items) > 1)
+    assert {tuple(item) for item in rig.inbox.items} == {("silent", launch)}
+    theirs.sendall(CHUNKED + line("done", result="r") + b"0\r\n\r\n")
+    assert outcome(rig)[0] == "completed"
+
+
 def test_a_refused_connection_is_unreachable():
     rig = Rig()
     peer, sock = peer_at()
