Workers that are gone are forgotten once nothing of them is out

Seen in a reading: members() and the router kept a record of every worker ever listed, and each release brings new ids; a dispatcher that lives for months grows without end. Now they go with the next list after their last launch has ended.

--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -125,9 +125,8 @@
             return
         if kind != "cached":
             self.following, self.fails, self.ask_at = True, 0, None
-        named = set()
+        named = {entry[1] for entry in entries}
         for zone, wkr_id, state, born, cls, cell, units in entries:
-            named.add(wkr_id)
             wkr = self.workers.get(wkr_id)
             if wkr is None:
                 others = [w.slots for w in self.ready]
@@ -141,6 +140,8 @@
             for wkr in self.workers.values():
                 if wkr.id not in named:
                     wkr.state = "gone"
+        # Each release brings new ids: who has gone is forgotten, once nothing of it is out.
+        self.workers = {wkr.id: wkr for wkr in self.workers.values() if wkr.state != "gone" or wkr.out}
         self.ready = [wkr for wkr in self.workers.values() if wkr.state == "ready"]
         self.survey()
 
@@ -251,9 +252,8 @@
             self.close(job)
 
     def probed(self, now, wkr_id, how, lag, report):
-        wkr = self.workers.get(wkr_id)
-        if wkr is not None and how == "completed":
-            wkr.heard = now
+        if how == "completed" and wkr_id in self.workers:
+            self.workers[wkr_id].heard = now
 
     # What is known
 
--- a/mastledge/routing/router.py
+++ b/mastledge/routing/router.py
@@ -69,6 +69,8 @@
                     peer.state = "gone"
                     self.workers.hang_up(peer)
         self.balancer.members(now, kind, told)
+        # Launches under way hold what they need of it.
+        self.peers = {peer.id: peer for peer in self.peers.values() if peer.state != "gone"}
         if entries:
             brief = [(e[0], e[3], e[4] and (now - e[4]) / 1e6) for e in entries[:12]]
             generation = self.discovery.generation
