While two dispatchers may be leaving together, some client connections are kept free

Now, where the settings tell of two dispatchers at most, from 0.25 s after SIGTERM a job that would take the last quarter of the connections (an eighth for retries, three at the least) is rejected at the door with Retry-After.

--- a/mastledge/program/phases.py
+++ b/mastledge/program/phases.py
@@ -47,7 +47,7 @@
         words = {"queue_types": [dict(qt) for qt in settings["queue_types"]],
                  "tenants": [tenant["name"] for tenant in settings["tenants"]],
                  "zones": settings["zones"], "kinds": settings["kinds"],
-                 "most_held": settings["most_held"],
+                 "most_held": settings["most_held"], "dispatchers": settings["dispatchers"],
                  "hold_off": settings["most_hold_off"] if settings["may_hold_off"] else 0,
                  "unix_now": time.time_ns() // 1000}
         self.walltime = max(qt["walltime"] for qt in settings["queue_types"])
@@ -157,7 +157,7 @@
         last = told_at + min(self.walltime, LONGEST) + LAST
         # The others may be ending too, so who is connected is served as long as what comes can still be done.
         closing = max(told_at + ACCEPTING, (told_at + last) // 2)
-        door.leaving = True
+        door.leaving = told_at
         self.inbox.put("leaving", last)
         self.go(LEAVING)
         while loop.now() < closing:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -119,9 +119,10 @@
         return http.attach(Connection(self.loop, ours, self.budget, kind), role), theirs
 
 
-def door(rig, types=None, most_held=100):
+def door(rig, types=None, most_held=100, dispatchers=3):
     types = types or [queue_type(name="render")]
-    words = {"queue_types": types, "tenants": ["a", "b"], "most_held": most_held, "hold_off": 2_000_000}
+    words = {"queue_types": types, "tenants": ["a", "b"], "most_held": most_held, "hold_off": 2_000_000,
+             "dispatchers": dispatchers}
     made = Door(rig.loop, rig.budget, rig.inbox, words, rig.log)
     made.ready = True
     return made
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -153,6 +153,26 @@
     assert reply.startswith(b"HTTP/1.1 503 ") and b"connection: close" in reply.lower()
 
 
+@pytest.mark.parametrize(("dispatchers", "since", "idle", "resent", "taken"), [
+    (2, 300_000, 0, None, False), (2, 300_000, 2, None, False), (2, 300_000, 3, None, True),
+    (2, 0, 0, None, True), (3, 300_000, 0, None, True), (2, 300_000, 15, 1, True)])
+def test_while_leaving_some_client_connections_are_kept_free(dispatchers, since, idle, resent, taken):
+    # Once all were busy their clients went to the other dispatcher, which was down as well.
+    rig = Rig()
+    made = door(rig, dispatchers=dispatchers)
+    theirs = client(rig, made)
+    others = [client(rig, made) for _ in range(idle)]
+    for other in others:
+        other.sendall(b"GET /health/live HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert rig.turn(lambda: len(rig.budget.idle["clients"]) == idle)
+    made.leaving = rig.loop.now() - since
+    theirs.sendall(job(X_Resent=resent))
+    if taken:
+        assert rig.turn(lambda: rig.inbox.items)
+    else:
+        assert b"retry-after" in rig.reply(theirs) and not rig.inbox.items
+
+
 @pytest.mark.parametrize("unread", [b"", job()])
 def test_an_idle_client_is_closed_only_when_nothing_is_under_way(unread):
     rig = Rig()
