--- a/mastledge/protocol/clients.py
+++ b/mastledge/protocol/clients.py
@@ -15,7 +15,7 @@
 IDLE = 120_000_000
 YOUNG = 200_000
 PATIENCE = 250_000  # after which it may come again where there was no room for it
-FREE = 3  # connections of clients at the least, while leaving
+FREE = 3  # connections of clients, while leaving: a burst comes before a rejection has freed one
 FEWER = 250_000  # after SIGTERM; from then on new connections go to others
 PAUSE = 20_000  # where descriptors are short
 LINGER = 1_000_000  # what is still under way is read, or closing would reset the answer to it
@@ -179,7 +179,7 @@
         if not self.new(exchange):
             # An id is new with every request, so this is another's, and that job goes on untouched.
             raise BadRequest(409, "X-Txn is in use")
-        if beyond or self.in_hand >= self.most_held or self.crowded(exchange.resent):
+        if beyond or self.in_hand >= self.most_held or self.crowded():
             # Nothing of it was sent anywhere, so trying again is harmless.
             self.log("no_room", job=exchange.name, clients=len(self.clients))
             return self.no_room
@@ -203,15 +203,14 @@
             self.names.discard(known.popleft()[1])
         return exchange.name not in self.names
 
-    def crowded(self, resent):
+    def crowded(self):
         """Who finds all its connections busy opens one more, and that comes to nobody where all are leaving.
 
-        So some are kept free: what would take them comes again in a moment, and is let in then. Where there
-        are more than two dispatchers, some other is up and takes at once what does not come here.
+        So some are kept free, and what would take them comes again in a moment. Where there are more than
+        two dispatchers, some other is up and takes at once what does not come here.
         """
         late = self.few and self.leaving and self.loop.now() >= self.leaving + FEWER
-        free = len(self.budget.idle["clients"])
-        return late and free < max(FREE, (free + self.in_hand) // (8 if resent else 4))
+        return late and len(self.budget.idle["clients"]) < FREE
 
     def outcome(self, conn, exchange):
         got = READ
--- a/mastledge/protocol/requests.py
+++ b/mastledge/protocol/requests.py
@@ -22,10 +22,10 @@
     """One job's request, to be passed on as it came, and the way back to its client."""
 
     __slots__ = ("answer", "name", "kind", "method", "target", "headers", "body", "until", "open", "job",
-                 "once", "resent")
+                 "once")
 
     def __init__(self):
-        self.answer, self.open, self.job, self.once, self.resent = None, True, None, False, False
+        self.answer, self.open, self.job, self.once = None, True, None, False
 
     def completed(self, result):
         self.finish(COMPLETED, [(b"content-type", b"application/octet-stream")], result)
@@ -73,7 +73,6 @@
         exchange = Exchange()
         exchange.name, exchange.kind = fields[b"x-txn"].decode("latin-1"), qt["name"]
         exchange.until, exchange.once = now + patience, qt["effect"] == "run-once"
-        exchange.resent = fields.get(b"x-resent") == b"1"
         exchange.method, exchange.target, exchange.body = head.method, head.target, content
         exchange.headers = [(name, value) for name, value in head.headers
                             if name not in http.DROPPED and name != b"x-remaining-ms"]
