Keys have homes by a shared hash, hints stay beside keys, load reports replace the guessed load

A probe of the wire: no start note ever comes, so every launch counted as one that waits for its start: slots stayed at 8, extra() took each worker for a full one after 20 ms and press() heard only of what was revoked. Second, where the key of a job was among the last two that its worker had, it ran 0 to 5 ms over its hint in the median, else 430 ms over: more than a mean job. expect() took the key for the running time and dropped the job's own hint.

Now a launch counts as running from its sending where no start is told; a key has as many homes as its jobs fill, by a hash over ids that all dispatchers share; elsewhere a learned fetch counts in the estimated end and as contention; reports in answers, less the own share, take the place of the guessed load of others, and the usual load is what an old one fades to.

--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -46,7 +46,7 @@
 
 class Worker:
     __slots__ = ("id", "zone", "kind", "cell", "units", "state", "born", "out", "curve", "load", "running",
-                 "slots", "peak", "slow", "extra", "extra_at", "heard", "quick", "aside",
+                 "slots", "peak", "slow", "extra", "extra_at", "usual", "told", "kept", "heard", "quick", "aside",
                  "credit", "draw", "drawn_at", "asked_at")
 
     def __init__(self, wkr_id, slots, now):
@@ -60,7 +60,7 @@
             launch.entry = None
         self.born, self.out, self.curve, self.load, self.running, self.peak = born, {}, [], 0.0, 0.0, 1.0
         self.slow, self.extra, self.extra_at, self.heard, self.quick = 1.0, 0.0, 0, 0, None
-        self.aside = {}
+        self.aside, self.kept, self.usual, self.told = {}, [], 0.0, None
         # No credit for the time before it was known.
         self.credit, self.draw, self.drawn_at, self.asked_at = 0.0, 1.0, now, now
 
@@ -77,7 +77,7 @@
 
 
 class Launch:
-    __slots__ = ("job", "wkr", "n", "sent", "began", "heard", "load", "mean", "entry", "ended",
+    __slots__ = ("job", "wkr", "n", "sent", "began", "heard", "load", "mean", "fetch", "entry", "ended",
                  "may_have_run", "revoked")
 
 
@@ -103,6 +103,7 @@
             # Dispatchers restarted together must not ask in step.
             self.ask_at = now + int(self.chance() * 100 * settings["step"])
         self.rates = [0.0] * max(1, len(settings["tenants"]))
+        self.fetch, self.wanted, self.homes, self.frees = Estimate(self.run.mean, 0.0), {}, {}, {}
         self.survey()
 
     def chance(self):
@@ -143,6 +144,7 @@
         # Each release brings new ids: who has gone is forgotten, once nothing of it is out.
         self.workers = {wkr.id: wkr for wkr in self.workers.values() if wkr.state != "gone" or wkr.out}
         self.ready = [wkr for wkr in self.workers.values() if wkr.state == "ready"]
+        self.homes = {}
         self.survey()
 
     def arrived(self, now, job_id, qtype, hint, key, width, memory, tenant, patience):
@@ -154,6 +156,8 @@
         job.last = min(now + max(0, patience - 2 * self.settings["step"]), self.over_at or now + patience)
         qt["most_patience"] = max(qt["most_patience"], patience)
         self.expect(job)
+        if key:
+            self.wanted[key] = self.wanted.get(key, 0.0) + (hint or job.mean)
         aim = min(qt["target"] + int(qt["stretch"] * (hint or job.mean)), qt["walltime"])
         # A later try's time is counted from the client's first one.
         job.target_at = now + aim - max(0, qt["most_patience"] - patience)
@@ -228,11 +232,13 @@
         launch.may_have_run = how not in NEVER_RAN
         if launch.entry is not None:
             self.off(launch)
-            if not launch.began and how in ("full", "revoked", "timeout"):
+            if how == "full" or not launch.began and how in ("revoked", "timeout"):
                 # What never started waited longest, and would be missing where most is moved or refused.
                 self.waits.append((self.slack if how == "full" else now - launch.sent, now))
         if how not in ("timeout", "revoked", "unsent", "dropped"):
             self.judge(now, launch, how)
+        if report and self.settings["report_how"] == "piggyback":
+            self.reported(now, launch, report)
         if final and not job.closed:
             self.close(job)
         elif not job.closed:
@@ -282,7 +288,8 @@
                 if len(self.keys) >= KEYS_KEPT:
                     del self.keys[next(iter(self.keys))]
                 if job.hint:
-                    known = Estimate(job.hint * qt["ratio"].mean, job.hint * qt["ratio"].var)
+                    known = Estimate(qt["ratio"].mean, qt["ratio"].var)
+                    known.n = 1
                 elif self.keys:
                     n = len(self.keys)
                     known = Estimate(sum(k.mean for k in self.keys.values()) / n,
@@ -290,7 +297,9 @@
                 else:
                     known = Estimate(qt["run"].mean, qt["run"].var)
                 self.keys[job.key] = known
-            job.mean, job.var = known.mean, SPREAD * known.var
+            # A hint tells jobs of one key apart, so it is the time for a unit of it that belongs to the key.
+            unit = job.hint or 1
+            job.mean, job.var = unit * known.mean, SPREAD * unit * known.var
         elif job.hint:
             job.mean, job.var = job.hint * qt["ratio"].mean, SPREAD * job.hint * qt["ratio"].var
         else:
@@ -305,12 +314,17 @@
             slow = self.slowness(wkr, now)
             self.learn_slow(wkr, run / launch.mean, now)
             self.run.learn(run)
+            if not self.settings["tells_start"]:
+                self.lag.learn(max(0, run - launch.mean * slow))
             self.work += (job.hint or job.mean) * job.load
             qt["run"].learn(run)
-            if job.hint:
-                qt["ratio"].learn(min(run / slow, 8 * launch.mean) / job.hint)
-            if job.key in self.keys:
-                self.keys[job.key].learn(run)
+            if launch.fetch:
+                self.fetch.learn(max(0.0, run - job.mean * slow))
+            else:
+                if job.hint:
+                    qt["ratio"].learn(min(run / slow, 8 * launch.mean) / job.hint)
+                if job.key in self.keys:
+                    self.keys[job.key].learn(min(run / slow, 8 * launch.mean) / job.hint if job.hint else run)
             if wkr.aside:
                 self.goes_well(wkr, launch)
         elif how == "error":
@@ -323,6 +337,33 @@
         elif how in ("unreachable", "lost"):
             self.set_aside(wkr, CUT_OFF if how == "unreachable" else None, launch, now)
 
+    def reported(self, now, launch, report):
+        """What a worker told of its load with an answer, less what was one's own when that was made."""
+        wkr, told = launch.wkr, dict(zip(self.settings["report_fields"], report, strict=False))
+        free, backlog = told.get("free_slots", -1.0), told.get("backlog", 0.0)
+        # The same figures again are the same report, only older. And absurd ones must not reach a curve.
+        if report == wkr.told or not (0 <= free < 1e4 and 0 <= backlog < 1e6):
+            return
+        wkr.told = report
+        # Slots by kind: the most that was free more than once in fifty reports, as all are noisy.
+        frees = self.frees.setdefault(wkr.kind, {})
+        frees[round(free)] = frees.get(round(free), 0) + 1
+        few, seen = sum(frees.values()) / 50, 0
+        for slots in sorted(frees, reverse=True):
+            seen += frees[slots]
+            if seen > few:
+                break
+        if not self.settings["tells_start"]:
+            wkr.slots = wkr.peak = max(1.0, slots)
+            self.waits.append((int(backlog * self.run.mean / wkr.slots), now))
+        else:
+            wkr.slots = wkr.peak = max(wkr.peak, slots)
+        made = now - self.run.mean
+        own = sum(other.load for other in wkr.out.values() if other.sent < made)
+        own += launch.load if launch.sent < made else 0
+        wkr.extra, wkr.extra_at = max(0.0, wkr.slots - free + backlog - own), now
+        wkr.usual += GAIN * (wkr.extra - wkr.usual)
+
     def set_aside(self, wkr, why, launch, now):
         dear = 4 if launch.may_have_run and launch.job.qt["effect"] == "run-once" else 1
         aside = wkr.aside.get(why)
@@ -371,7 +412,7 @@
 
     def extra(self, wkr, now):
         """Load of others, as last seen, fading; never less than what keeps own jobs waiting."""
-        extra = wkr.extra / (1 + (now - wkr.extra_at) / self.run.mean) if wkr.extra else 0.0
+        extra = wkr.usual + (wkr.extra - wkr.usual) / (1 + (now - wkr.extra_at) / self.run.mean)
         if wkr.running < wkr.load:
             for launch in wkr.out.values():
                 if not launch.began:
@@ -520,6 +561,7 @@
         part = () if special else self.part
         size, look = max(4, len(self.part)), self.look
         first = int(self.chance() * len(self.ready))
+        homes = self.homes_of(job.key) if job.key else ()
         rest = chain(self.ready[first:], self.ready[:first]) if special or self.beyond else ()
         for seen, wkr in enumerate(chain(part, rest)):
             # Past the own part only while no worker is free, and no further than the CPU allows.
@@ -529,12 +571,16 @@
                 continue
             # CPU is scarce and this runs for each worker and job: no call where its answer is plain.
             slow = self.slowness(wkr, now) if wkr.born else wkr.slow
-            extra = self.extra(wkr, now) if wkr.extra or wkr.running < wkr.load else 0.0
-            span = int((mean + var) * slow)
+            extra = self.extra(wkr, now) if wkr.extra or wkr.usual or wkr.running < wkr.load else 0.0
+            fetch = self.fetch.mean if job.key and wkr not in homes and job.key not in wkr.kept else 0.0
+            span = int((mean + var) * slow + fetch)
             if wkr.curve or extra:
                 rank = self.contention(wkr, now, span, load, var, extra)
             else:
                 rank = 0.0, load * span
+            if fetch:
+                # A slot that is held while a key is fetched does nobody's work, as one above the slots does.
+                rank = rank[0] + load * fetch, rank[1]
             found.append((rank, wkr))
             if best is None or rank < least:
                 best, least = wkr, rank
@@ -554,6 +600,15 @@
         above = best.load + load + self.extra(best, now) - max(slots, load)
         return best, above * self.run.mean * slow / slots if above > 0 else 0.0
 
+    def homes_of(self, key):
+        """Where a key is kept, by a hash that all dispatchers share: as many workers as its jobs fill."""
+        homes = self.homes.get(key)
+        if homes is None:
+            share = self.wanted.get(key, 0.0) / max(1.0, sum(self.wanted.values()))
+            ranked = sorted(self.ready, key=lambda wkr: crc32(b"%d %s" % (key, str(wkr.id).encode())))
+            homes = self.homes[key] = ranked[:1 + int(share * len(ranked))]
+        return homes
+
     def one_of(self, near):
         """By chance, by declared size: most ranks tie where each dispatcher has few jobs out."""
         left = self.chance() * sum(wkr.units for wkr in near)
@@ -621,6 +676,8 @@
         self.work *= 11 / 12
         self.seconds += 1 - self.seconds / 12
         self.survey()
+        self.homes = {}
+        self.wanted = {key: work * 11 / 12 for key, work in self.wanted.items() if work > 1}
         # Learned slowness fades: a worker avoided for it is never measured again otherwise.
         fade = min(1.0, 1_000_000 / (16 * self.run.mean + 1))
         mean = sum(wkr.slow for wkr in self.ready) / max(1, len(self.ready))
@@ -657,8 +714,19 @@
         launch = Launch()
         launch.job, launch.wkr, launch.n, launch.sent = job, wkr, len(job.launches), now
         launch.load, launch.mean, launch.began, launch.heard = job.load, job.mean, 0, now
+        if not self.settings["tells_start"]:
+            # No note ever comes: it must not be taken for one that waits, nor its worker for a full one.
+            launch.began, wkr.running = now, wkr.running + job.load
         launch.ended = launch.may_have_run = launch.revoked = False
-        end = now + int((job.mean + job.var) * self.slowness(wkr, now))
+        launch.fetch = 0.0
+        if job.key:
+            if job.key in wkr.kept:
+                wkr.kept.remove(job.key)
+            elif wkr not in self.homes_of(job.key):
+                launch.fetch = self.fetch.mean
+            wkr.kept = [job.key, *wkr.kept[:int(wkr.slots) // 2]]
+        end = now + int((job.mean + job.var) * self.slowness(wkr, now) + launch.fetch)
+        launch.mean += launch.fetch
         self.dues += 1
         launch.entry = (end, self.dues, job.load)
         insort(wkr.curve, launch.entry)
@@ -685,8 +753,10 @@
             ratio = (now - launch.began) / launch.mean
             if ratio > self.slowness(wkr, now):
                 self.learn_slow(wkr, ratio, now)
-        elif wkr.heard < launch.sent and now - launch.sent > self.lag.mean + 4 * self.lag.var + self.run.mean:
-            self.set_aside(wkr, None, launch, now)
+        if not (launch.began and self.settings["tells_start"]) and wkr.heard < launch.sent:
+            due = self.run.mean if self.settings["tells_start"] else launch.mean * self.slowness(wkr, now)
+            if now - launch.sent > self.lag.mean + 4 * self.lag.var + due:
+                self.set_aside(wkr, None, launch, now)
         # Ever rarer: on an overloaded fleet looking again and again at all that waits makes all late.
         again = max(job.var, launch.mean / 2, (now - launch.sent) / 2, self.settings["step"])
         self.remind(now + int(again), launch)
