Homes are not crowded, and fetches and waits are kept out of the running time

Orders by a sum of key and id were alike for like keys; a plain simulation of the partition had one worker at 3.8 times the mean work. Dispatchers agreed on 16% of the homes by share in the second second, as one job of a key made it a key of 78 homes.

Now a run that is over its estimate by half a fetch counts as fetched, small hints weigh less, only launches that met no known load teach where no start is told, orders are mixed, crowded workers are passed over, and first jobs count for little.

--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -24,6 +24,8 @@
 COLD = 1.0  # of a cold worker's budget, where all that is completed is all that can be
 PART = 6  # workers that a dispatcher of little traffic keeps to
 LONGEST_PAUSE = 4_000_000  # between two trials of a worker that was set aside
+PLACES = 4  # of a key among the last ones of a worker
+CROWDED = 1.25  # times its part of the work, above which a worker is home to no more keys
 SWEEP = 0.2  # microseconds, in the settings' measure, that looking at one worker takes
 
 
@@ -46,8 +48,8 @@
 
 class Worker:
     __slots__ = ("id", "zone", "kind", "cell", "units", "state", "born", "out", "curve", "load", "running",
-                 "slots", "peak", "slow", "extra", "extra_at", "usual", "told", "kept", "heard", "quick", "aside",
-                 "credit", "draw", "drawn_at", "asked_at")
+                 "slots", "peak", "slow", "extra", "extra_at", "usual", "told", "kept", "heard", "quick",
+                 "aside", "credit", "draw", "drawn_at", "asked_at")
 
     def __init__(self, wkr_id, slots, now):
         self.id, self.slots, self.out = wkr_id, slots, {}
@@ -77,8 +79,8 @@
 
 
 class Launch:
-    __slots__ = ("job", "wkr", "n", "sent", "began", "heard", "load", "mean", "fetch", "entry", "ended",
-                 "may_have_run", "revoked")
+    __slots__ = ("job", "wkr", "n", "sent", "began", "heard", "load", "mean", "place", "clear", "entry",
+                 "ended", "may_have_run", "revoked")
 
 
 class Balancer:
@@ -103,7 +105,11 @@
             # Dispatchers restarted together must not ask in step.
             self.ask_at = now + int(self.chance() * 100 * settings["step"])
         self.rates = [0.0] * max(1, len(settings["tenants"]))
-        self.fetch, self.wanted, self.homes, self.frees = Estimate(self.run.mean, 0.0), {}, {}, {}
+        # A key that is not there takes a mean job's time, until more is learned; and how often that is by
+        # its place among the last ones of a worker. At home it is taken to be there.
+        self.fetch = Estimate(self.run.mean, 0.0)
+        self.fetch.n, self.missing = 1, [n / PLACES for n in range(PLACES + 1)]
+        self.wanted, self.orders, self.homes, self.frees = {}, {}, {}, {}
         self.survey()
 
     def chance(self):
@@ -144,7 +150,8 @@
         # Each release brings new ids: who has gone is forgotten, once nothing of it is out.
         self.workers = {wkr.id: wkr for wkr in self.workers.values() if wkr.state != "gone" or wkr.out}
         self.ready = [wkr for wkr in self.workers.values() if wkr.state == "ready"]
-        self.homes = {}
+        self.orders = {}
+        self.settle_keys()
         self.survey()
 
     def arrived(self, now, job_id, qtype, hint, key, width, memory, tenant, patience):
@@ -280,26 +287,21 @@
         insort(curve, launch.entry)
 
     def expect(self, job):
-        """Running time on the mean worker: the key's, else seeded by the hint, else the queue type's."""
+        """Running time on the mean worker: by the hint of this very job, else the key's, else the type's."""
         qt = job.qt
-        if job.key:
+        if job.key and not job.hint:
             known = self.keys.get(job.key)
             if known is None:
                 if len(self.keys) >= KEYS_KEPT:
                     del self.keys[next(iter(self.keys))]
-                if job.hint:
-                    known = Estimate(qt["ratio"].mean, qt["ratio"].var)
-                    known.n = 1
-                elif self.keys:
+                if self.keys:
                     n = len(self.keys)
                     known = Estimate(sum(k.mean for k in self.keys.values()) / n,
                                      sum(k.var for k in self.keys.values()) / n)
                 else:
                     known = Estimate(qt["run"].mean, qt["run"].var)
                 self.keys[job.key] = known
-            # A hint tells jobs of one key apart, so it is the time for a unit of it that belongs to the key.
-            unit = job.hint or 1
-            job.mean, job.var = unit * known.mean, SPREAD * unit * known.var
+            job.mean, job.var = known.mean, SPREAD * known.var
         elif job.hint:
             job.mean, job.var = job.hint * qt["ratio"].mean, SPREAD * job.hint * qt["ratio"].var
         else:
@@ -312,19 +314,29 @@
             wkr.heard = now
             run = max(1, now - (launch.began or launch.sent))
             slow = self.slowness(wkr, now)
-            self.learn_slow(wkr, run / launch.mean, now)
+            if launch.clear:
+                self.learn_slow(wkr, run / launch.mean, now)
             self.run.learn(run)
             if not self.settings["tells_start"]:
                 self.lag.learn(max(0, run - launch.mean * slow))
             self.work += (job.hint or job.mean) * job.load
             qt["run"].learn(run)
-            if launch.fetch:
-                self.fetch.learn(max(0.0, run - job.mean * slow))
-            else:
+            beyond = run / slow - job.mean
+            fetched = job.key and beyond > self.fetch.mean / 2
+            if launch.clear and fetched:
+                self.fetch.learn(min(beyond, 2 * self.fetch.mean))
+            elif launch.clear:
                 if job.hint:
-                    qt["ratio"].learn(min(run / slow, 8 * launch.mean) / job.hint)
+                    told = min(run / slow, 8 * launch.mean) / job.hint
+                    if not self.settings["tells_start"]:
+                        # A short wait is many times a small hint.
+                        usual = qt["ratio"].mean
+                        told = usual + (told - usual) * min(1.0, job.hint / qt["run"].mean)
+                    qt["ratio"].learn(told)
                 if job.key in self.keys:
-                    self.keys[job.key].learn(min(run / slow, 8 * launch.mean) / job.hint if job.hint else run)
+                    self.keys[job.key].learn(run)
+            if launch.clear and 0 <= launch.place < PLACES:
+                self.missing[launch.place] += GAIN * (fetched - self.missing[launch.place])
             if wkr.aside:
                 self.goes_well(wkr, launch)
         elif how == "error":
@@ -345,19 +357,10 @@
         if report == wkr.told or not (0 <= free < 1e4 and 0 <= backlog < 1e6):
             return
         wkr.told = report
-        # Slots by kind: the most that was free more than once in fifty reports, as all are noisy.
         frees = self.frees.setdefault(wkr.kind, {})
         frees[round(free)] = frees.get(round(free), 0) + 1
-        few, seen = sum(frees.values()) / 50, 0
-        for slots in sorted(frees, reverse=True):
-            seen += frees[slots]
-            if seen > few:
-                break
         if not self.settings["tells_start"]:
-            wkr.slots = wkr.peak = max(1.0, slots)
             self.waits.append((int(backlog * self.run.mean / wkr.slots), now))
-        else:
-            wkr.slots = wkr.peak = max(wkr.peak, slots)
         made = now - self.run.mean
         own = sum(other.load for other in wkr.out.values() if other.sent < made)
         own += launch.load if launch.sent < made else 0
@@ -561,7 +564,7 @@
         part = () if special else self.part
         size, look = max(4, len(self.part)), self.look
         first = int(self.chance() * len(self.ready))
-        homes = self.homes_of(job.key) if job.key else ()
+        homes = self.homes.get(job.key) or self.order(job.key)[:1] if job.key else ()
         rest = chain(self.ready[first:], self.ready[:first]) if special or self.beyond else ()
         for seen, wkr in enumerate(chain(part, rest)):
             # Past the own part only while no worker is free, and no further than the CPU allows.
@@ -572,7 +575,7 @@
             # CPU is scarce and this runs for each worker and job: no call where its answer is plain.
             slow = self.slowness(wkr, now) if wkr.born else wkr.slow
             extra = self.extra(wkr, now) if wkr.extra or wkr.usual or wkr.running < wkr.load else 0.0
-            fetch = self.fetch.mean if job.key and wkr not in homes and job.key not in wkr.kept else 0.0
+            fetch = self.to_fetch(self.place(job.key, wkr, homes)) if job.key else 0.0
             span = int((mean + var) * slow + fetch)
             if wkr.curve or extra:
                 rank = self.contention(wkr, now, span, load, var, extra)
@@ -600,14 +603,42 @@
         above = best.load + load + self.extra(best, now) - max(slots, load)
         return best, above * self.run.mean * slow / slots if above > 0 else 0.0
 
-    def homes_of(self, key):
-        """Where a key is kept, by a hash that all dispatchers share: as many workers as its jobs fill."""
-        homes = self.homes.get(key)
-        if homes is None:
-            share = self.wanted.get(key, 0.0) / max(1.0, sum(self.wanted.values()))
-            ranked = sorted(self.ready, key=lambda wkr: crc32(b"%d %s" % (key, str(wkr.id).encode())))
-            homes = self.homes[key] = ranked[:1 + int(share * len(ranked))]
-        return homes
+    def place(self, key, wkr, homes):
+        """Its place among the last keys that went to a worker, -1 at home."""
+        if wkr in homes:
+            return -1
+        return wkr.kept.index(key) if key in wkr.kept else PLACES
+
+    def to_fetch(self, place):
+        return self.fetch.mean * self.missing[place] if place >= 0 else 0.0
+
+    def order(self, key):
+        """The workers in an order for each key that all dispatchers share, as ids are the same everywhere."""
+        order = self.orders.get(key)
+        if order is None:
+            salt = crc32(b"%d" % key)
+            # Multiplied, as sums of this kind alone would give like keys like orders.
+            ranks = [((crc32(str(w.id).encode()) ^ salt) * 0x9E3779B1 % (1 << 32), w) for w in self.ready]
+            order = self.orders[key] = [wkr for _, wkr in sorted(ranks, key=lambda rank: rank[0])]
+        return order
+
+    def settle_keys(self):
+        """Each key gets as many homes as its jobs fill, the first in its order that are not crowded.
+
+        Dispatchers that differ a little over what is wanted still agree on nearly all homes.
+        """
+        n, crowd = len(self.ready), {}
+        # The first jobs tell little: as much is added as a job of another key for each worker.
+        whole = max(1.0, sum(self.wanted.values()) + n * self.run.mean)
+        self.homes = {}
+        for key in sorted(self.wanted, key=self.wanted.get, reverse=True):
+            share, order = self.wanted[key] / whole, self.order(key)
+            count = 1 + int(share * n)
+            part = share / count
+            homes = [wkr for wkr in order if crowd.get(wkr, 0.0) + part <= CROWDED / n][:count] or order[:1]
+            for wkr in homes:
+                crowd[wkr] = crowd.get(wkr, 0.0) + part
+            self.homes[key] = homes
 
     def one_of(self, near):
         """By chance, by declared size: most ranks tie where each dispatcher has few jobs out."""
@@ -676,8 +707,8 @@
         self.work *= 11 / 12
         self.seconds += 1 - self.seconds / 12
         self.survey()
-        self.homes = {}
-        self.wanted = {key: work * 11 / 12 for key, work in self.wanted.items() if work > 1}
+        self.wanted = {key: work * 59 / 60 for key, work in self.wanted.items() if work > 1}
+        self.settle_keys()
         # Learned slowness fades: a worker avoided for it is never measured again otherwise.
         fade = min(1.0, 1_000_000 / (16 * self.run.mean + 1))
         mean = sum(wkr.slow for wkr in self.ready) / max(1, len(self.ready))
@@ -687,7 +718,18 @@
 
     def survey(self):
         """Figures over the whole fleet, once a second: taken for each job they cost more than deciding."""
-        ready = self.ready
+        ready, most = self.ready, {}
+        for kind, frees in self.frees.items():
+            # The most that was free in more than one report in fifty, as they are noisy.
+            few, seen = sum(frees.values()) / 50, 0
+            for most[kind] in sorted(frees, reverse=True):
+                seen += frees[most[kind]]
+                if seen > few:
+                    break
+        for wkr in ready if most else ():
+            slots = max(1.0, most.get(wkr.kind, wkr.slots))
+            wkr.peak = max(wkr.peak, slots) if self.settings["tells_start"] else slots
+            wkr.slots = wkr.peak
         self.count_asides()
         slots = sum(wkr.peak for wkr in ready) / len(ready) if ready else 1.0
         self.capacity = slots / max(qt["ratio"].mean for qt in self.queue_types)
@@ -718,15 +760,16 @@
             # No note ever comes: it must not be taken for one that waits, nor its worker for a full one.
             launch.began, wkr.running = now, wkr.running + job.load
         launch.ended = launch.may_have_run = launch.revoked = False
-        launch.fetch = 0.0
+        launch.place, fetch = -1, 0.0
         if job.key:
-            if job.key in wkr.kept:
-                wkr.kept.remove(job.key)
-            elif wkr not in self.homes_of(job.key):
-                launch.fetch = self.fetch.mean
-            wkr.kept = [job.key, *wkr.kept[:int(wkr.slots) // 2]]
-        end = now + int((job.mean + job.var) * self.slowness(wkr, now) + launch.fetch)
-        launch.mean += launch.fetch
+            homes = self.homes.get(job.key) or self.order(job.key)[:1]
+            launch.place = self.place(job.key, wkr, homes)
+            fetch = self.to_fetch(launch.place)
+            wkr.kept = [job.key, *(key for key in wkr.kept if key != job.key)][:PLACES]
+        # Where no start is told, waits must not be learned as running times or as a worker's speed.
+        launch.clear = not launch.began or wkr.load + job.load + self.extra(wkr, now) <= wkr.slots
+        end = now + int((job.mean + job.var) * self.slowness(wkr, now) + fetch)
+        launch.mean += fetch
         self.dues += 1
         launch.entry = (end, self.dues, job.load)
         insort(wkr.curve, launch.entry)
@@ -749,7 +792,7 @@
         wkr, job = launch.wkr, launch.job
         if launch.began and launch.entry is not None and now < launch.entry[0]:
             return
-        if launch.began:
+        if launch.began and self.settings["tells_start"]:
             ratio = (now - launch.began) / launch.mean
             if ratio > self.slowness(wkr, now):
                 self.learn_slow(wkr, ratio, now)
