--- a/mastledge/adapter/__main__.py
+++ b/mastledge/adapter/__main__.py
@@ -115,6 +115,9 @@
                 add(wire.SAMPLE(6, instance, decision[1]))
             elif what == "follow":
                 add(wire.TRACK(11, instance, 1))
+            elif what == "message":
+                add(wire.MEMO_TO(8, instance, wire.ALL, len(self.tail), len(decision[1])))
+                self.tail += decision[1]
             elif what == "fetch":
                 add(wire.PULL(12, instance))
             elif what == "log":
@@ -144,7 +147,8 @@
                     touched.pop(instance, None)
                 elif instance in instances:
                     if code == wire.INBOX:
-                        wire.tail_part(body, count, at, fields[2], fields[3], "message")
+                        content = bytes(wire.tail_part(body, count, at, fields[2], fields[3], "message"))
+                        instances[instance].message(now, fields[1], content)
                     else:
                         self.event(now, at, code, fields, instances[instance])
                     touched[instance] = True
--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -10,6 +10,7 @@
 from collections import deque
 from heapq import heappop, heappush
 from itertools import chain
+from struct import Struct
 from zlib import crc32
 
 GAIN = 0.125  # the paper's alpha and beta
@@ -26,6 +27,10 @@
 LONGEST_PAUSE = 4_000_000  # between two trials of a worker that was set aside
 PLACES = 4  # of a key among the last ones of a worker
 CROWDED = 1.25  # times its part of the work, above which a worker is home to no more keys
+SHARE = 0.005  # of all utility, what messages may cost
+RAREST = 2_000_000  # between two messages, above which what they tell is too old to be worth it
+MESSAGE, LOAD, WANTED = Struct(">4sHQ"), Struct(">IB"), Struct(">QH")
+MARK = b"mst1"
 SWEEP = 0.2  # microseconds, in the settings' measure, that looking at one worker takes
 
 
@@ -48,8 +53,8 @@
 
 class Worker:
     __slots__ = ("id", "zone", "kind", "cell", "units", "state", "born", "out", "curve", "load", "running",
-                 "slots", "peak", "slow", "extra", "extra_at", "usual", "told", "kept", "heard", "quick",
-                 "aside", "credit", "draw", "drawn_at", "asked_at")
+                 "slots", "peak", "slow", "extra", "extra_at", "usual", "told", "kept", "kept_at", "shared",
+                 "heard", "quick", "aside", "credit", "draw", "drawn_at", "asked_at")
 
     def __init__(self, wkr_id, slots, now):
         self.id, self.slots, self.out = wkr_id, slots, {}
@@ -62,7 +67,8 @@
             launch.entry = None
         self.born, self.out, self.curve, self.load, self.running, self.peak = born, {}, [], 0.0, 0.0, 1.0
         self.slow, self.extra, self.extra_at, self.heard, self.quick = 1.0, 0.0, 0, 0, None
-        self.aside, self.kept, self.usual, self.told = {}, [], 0.0, None
+        self.aside, self.kept, self.usual, self.told, self.shared = {}, [], 0.0, None, 0.0
+        self.kept_at = 0
         # No credit for the time before it was known.
         self.credit, self.draw, self.drawn_at, self.asked_at = 0.0, 1.0, now, now
 
@@ -79,8 +85,8 @@
 
 
 class Launch:
-    __slots__ = ("job", "wkr", "n", "sent", "began", "heard", "load", "mean", "place", "clear", "entry",
-                 "ended", "may_have_run", "revoked")
+    __slots__ = ("job", "wkr", "n", "sent", "began", "heard", "load", "mean", "place", "clear", "sure",
+                 "entry", "ended", "may_have_run", "revoked")
 
 
 class Balancer:
@@ -104,6 +110,8 @@
         if not self.following:
             # Dispatchers restarted together must not ask in step.
             self.ask_at = now + int(self.chance() * 100 * settings["step"])
+        # What others last told of, when it may be told again, and what was wanted since.
+        self.others, self.tell_at, self.fresh_wants, self.by_hash = {}, None, {}, {}
         self.rates = [0.0] * max(1, len(settings["tenants"]))
         # A key that is not there takes a mean job's time, until more is learned; and how often that is by
         # its place among the last ones of a worker. At home it is taken to be there.
@@ -150,7 +158,7 @@
         # Each release brings new ids: who has gone is forgotten, once nothing of it is out.
         self.workers = {wkr.id: wkr for wkr in self.workers.values() if wkr.state != "gone" or wkr.out}
         self.ready = [wkr for wkr in self.workers.values() if wkr.state == "ready"]
-        self.orders = {}
+        self.orders, self.by_hash = {}, {crc32(str(wkr.id).encode()): wkr for wkr in self.ready}
         self.settle_keys()
         self.survey()
 
@@ -164,7 +172,10 @@
         qt["most_patience"] = max(qt["most_patience"], patience)
         self.expect(job)
         if key:
-            self.wanted[key] = self.wanted.get(key, 0.0) + (hint or job.mean)
+            for wants in (self.wanted, self.fresh_wants):
+                wants[key] = wants.get(key, 0.0) + (hint or job.mean)
+        if self.tell_at is None and self.interval:
+            self.tell_at = now + self.interval
         aim = min(qt["target"] + int(qt["stretch"] * (hint or job.mean)), qt["walltime"])
         # A later try's time is counted from the client's first one.
         job.target_at = now + aim - max(0, qt["most_patience"] - patience)
@@ -264,6 +275,32 @@
         if job is not None and not job.closed:
             self.close(job)
 
+    def message(self, now, sender, content):
+        """What another dispatcher has out at each worker, and the keys that its jobs wanted lately."""
+        if not MESSAGE.size <= len(content) <= 256 or sender == self.settings["me"]:
+            return
+        mark, count, told_at = MESSAGE.unpack_from(content)
+        loads, rest = MESSAGE.size, len(content) - MESSAGE.size - count * LOAD.size
+        before = self.others.get(sender)
+        if mark != MARK or rest < 0 or rest % WANTED.size or before and before[0] >= told_at:
+            return
+        if before:
+            self.forget_loads(sender)
+        held = []
+        for name, load in LOAD.iter_unpack(content[loads:loads + count * LOAD.size]):
+            wkr = self.by_hash.get(name)
+            if wkr is not None:
+                wkr.shared += load / 4
+                held.append((wkr, wkr.born, load / 4))
+        self.others[sender] = told_at, now, held
+        for key, work in WANTED.iter_unpack(content[loads + count * LOAD.size:]):
+            self.wanted[key] = self.wanted.get(key, 0.0) + work * 1000
+
+    def forget_loads(self, sender):
+        for wkr, born, load in self.others.pop(sender)[2]:
+            if wkr.born == born:
+                wkr.shared -= load
+
     def probed(self, now, wkr_id, how, lag, report):
         if how == "completed" and wkr_id in self.workers:
             self.workers[wkr_id].heard = now
@@ -321,22 +358,8 @@
                 self.lag.learn(max(0, run - launch.mean * slow))
             self.work += (job.hint or job.mean) * job.load
             qt["run"].learn(run)
-            beyond = run / slow - job.mean
-            fetched = job.key and beyond > self.fetch.mean / 2
-            if launch.clear and fetched:
-                self.fetch.learn(min(beyond, 2 * self.fetch.mean))
-            elif launch.clear:
-                if job.hint:
-                    told = min(run / slow, 8 * launch.mean) / job.hint
-                    if not self.settings["tells_start"]:
-                        # A short wait is many times a small hint.
-                        usual = qt["ratio"].mean
-                        told = usual + (told - usual) * min(1.0, job.hint / qt["run"].mean)
-                    qt["ratio"].learn(told)
-                if job.key in self.keys:
-                    self.keys[job.key].learn(run)
-            if launch.clear and 0 <= launch.place < PLACES:
-                self.missing[launch.place] += GAIN * (fetched - self.missing[launch.place])
+            if launch.clear:
+                self.learn(launch, run / slow, run)
             if wkr.aside:
                 self.goes_well(wkr, launch)
         elif how == "error":
@@ -349,6 +372,23 @@
         elif how in ("unreachable", "lost"):
             self.set_aside(wkr, CUT_OFF if how == "unreachable" else None, launch, now)
 
+    def learn(self, launch, time, run):
+        """Time of a launch on the mean worker that met no load: what the job ran, and what its key took."""
+        job, qt, beyond = launch.job, launch.job.qt, max(0.0, time - launch.job.mean)
+        if 0 <= launch.place < PLACES:
+            self.missing[launch.place] += GAIN * ((beyond > self.fetch.mean / 2) - self.missing[launch.place])
+        if launch.place == PLACES:
+            self.fetch.learn(min(beyond, 4 * self.fetch.mean))
+        elif launch.sure:
+            if job.hint:
+                told, usual = min(time, 8 * launch.mean) / job.hint, qt["ratio"].mean
+                if job.key:
+                    # A short wait is many times a small hint.
+                    told = usual + (told - usual) * min(1.0, job.hint / qt["run"].mean)
+                qt["ratio"].learn(told)
+            if job.key in self.keys:
+                self.keys[job.key].learn(run)
+
     def reported(self, now, launch, report):
         """What a worker told of its load with an answer, less what was one's own when that was made."""
         wkr, told = launch.wkr, dict(zip(self.settings["report_fields"], report, strict=False))
@@ -415,6 +455,8 @@
 
     def extra(self, wkr, now):
         """Load of others, as last seen, fading; never less than what keeps own jobs waiting."""
+        if self.others:
+            return max(0.0, wkr.shared)
         extra = wkr.usual + (wkr.extra - wkr.usual) / (1 + (now - wkr.extra_at) / self.run.mean)
         if wkr.running < wkr.load:
             for launch in wkr.out.values():
@@ -439,7 +481,8 @@
         while due and self.stale(due[0][2]):
             heappop(due)
         when = [due[0][0]] if due else []
-        return min(when if self.ask_at is None else [*when, self.ask_at], default=None)
+        when += [at for at in (self.ask_at, self.tell_at) if at is not None]
+        return min(when, default=None)
 
     @staticmethod
     def stale(what):
@@ -452,6 +495,9 @@
             # Asking counts even when the answer is lost: ask again well before being taken as told.
             self.ask_at = now + (self.settings["ask_within"] // 2 or 5_000_000)
             return ("follow", True)
+        if self.tell_at is not None and self.tell_at <= now:
+            self.tell_at = now + self.interval if self.interval and self.jobs else None
+            return ("message", self.news(now))
         while self.due and self.due[0][0] <= now:
             what = heappop(self.due)[2]
             if not self.stale(what):
@@ -472,6 +518,15 @@
                     return decision
         return None
 
+    def news(self, now):
+        loads = [LOAD.pack(crc32(str(wkr.id).encode()), min(255, round(4 * wkr.load)))
+                 for wkr in self.ready if wkr.load]
+        loads = loads[:(256 - MESSAGE.size) // LOAD.size]
+        room = (256 - MESSAGE.size - len(loads) * LOAD.size) // WANTED.size
+        keys = sorted(self.fresh_wants, key=self.fresh_wants.get, reverse=True)[:room]
+        wants = [WANTED.pack(key, min(65535, round(self.fresh_wants.pop(key) / 1000))) for key in keys]
+        return b"".join((MESSAGE.pack(MARK, len(loads), now), *loads, *wants))
+
     def settle(self, job, now):
         """The next step of one job, or None while it has to wait."""
         if job.streaming:
@@ -574,7 +629,9 @@
                 continue
             # CPU is scarce and this runs for each worker and job: no call where its answer is plain.
             slow = self.slowness(wkr, now) if wkr.born else wkr.slow
-            extra = self.extra(wkr, now) if wkr.extra or wkr.usual or wkr.running < wkr.load else 0.0
+            extra = 0.0
+            if wkr.shared or wkr.extra or wkr.usual or wkr.running < wkr.load:
+                extra = self.extra(wkr, now)
             fetch = self.to_fetch(self.place(job.key, wkr, homes)) if job.key else 0.0
             span = int((mean + var) * slow + fetch)
             if wkr.curve or extra:
@@ -582,8 +639,9 @@
             else:
                 rank = 0.0, load * span
             if fetch:
-                # A slot that is held while a key is fetched does nobody's work, as one above the slots does.
-                rank = rank[0] + load * fetch, rank[1]
+                # A slot that is held while a key is fetched does nobody's work, as one above the slots does;
+                # and the key that this one puts out will have to be fetched again.
+                rank = rank[0] + 2 * load * fetch, rank[1]
             found.append((rank, wkr))
             if best is None or rank < least:
                 best, least = wkr, rank
@@ -707,6 +765,8 @@
         self.work *= 11 / 12
         self.seconds += 1 - self.seconds / 12
         self.survey()
+        for sender in [sender for sender, told in self.others.items() if now - told[1] > 2 * RAREST]:
+            self.forget_loads(sender)
         self.wanted = {key: work * 59 / 60 for key, work in self.wanted.items() if work > 1}
         self.settle_keys()
         # Learned slowness fades: a worker avoided for it is never measured again otherwise.
@@ -750,6 +810,10 @@
             if wkr not in part and not wkr.aside:
                 part.append(wkr)
         self.part = part
+        # Messages go to all, so they are as rare as their price and the looks at them ask for.
+        others = settings["dispatchers"] - 1
+        wait = max(100_000, int(max(1.0, settings["price_peer"] / SHARE) * others / rate * 1e6))
+        self.interval = wait if settings["may_message"] and 0 < others and wait <= RAREST else 0
         self.rate, self.done = rate, max(self.done * 0.99, self.work / self.seconds / 1e6)
 
     def launch(self, job, wkr, now):
@@ -760,11 +824,14 @@
             # No note ever comes: it must not be taken for one that waits, nor its worker for a full one.
             launch.began, wkr.running = now, wkr.running + job.load
         launch.ended = launch.may_have_run = launch.revoked = False
-        launch.place, fetch = -1, 0.0
+        launch.place, launch.sure, fetch = -1, True, 0.0
         if job.key:
             homes = self.homes.get(job.key) or self.order(job.key)[:1]
             launch.place = self.place(job.key, wkr, homes)
             fetch = self.to_fetch(launch.place)
+            # Just used here, so it cannot have been put out yet.
+            launch.sure = wkr.kept[:1] == [job.key] and now - wkr.kept_at < 2 * self.run.mean
+            wkr.kept_at = now
             wkr.kept = [job.key, *(key for key in wkr.kept if key != job.key)][:PLACES]
         # Where no start is told, waits must not be learned as running times or as a worker's speed.
         launch.clear = not launch.began or wkr.load + job.load + self.extra(wkr, now) <= wkr.slots
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -32,7 +32,8 @@
         "conn_idle": 5_000_000, "answer_slack": 16_000, "ask_within": 10_000_000,
         "cold_from": 0.2, "cold_for": 10_000_000, "fall_for": 2_000_000, "fall_multiple": 2.5,
         "grace": 500_000, "report_how": "silent",
-        "report_fields": [], "price_crossing": 0, "price_probe": 0, "price_waste": 0, "price_late": 0,
+        "report_fields": [], "price_crossing": 0, "price_probe": 0, "price_waste": 0, "price_peer": 0,
+        "may_message": False, "price_late": 0,
         "tenants": [], "queue_types": types or [queue_type()], **other}
     made = Balancer(settings, seed, 0)
     made.members(0, "whole", [entry(i) for i in range(workers)])
