--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -25,8 +25,8 @@
 COLD = 1.0  # of a cold worker's budget, where all that is completed is all that can be
 PART = 6  # workers that a dispatcher of little traffic keeps to
 LONGEST_PAUSE = 4_000_000  # between two trials of a worker that was set aside
-PLACES = 4  # of a key among the last ones of a worker
-CROWDED = 1.25  # times its part of the work, above which a worker is home to no more keys
+DEAR = 8  # fetches, as which one counts: each puts out a key that has to be fetched again, and so on
+CROWDED = 1.1  # times its part of the work, above which a worker is home to no more keys
 SHARE = 0.005  # of all utility, what messages may cost
 RAREST = 2_000_000  # between two messages, above which what they tell is too old to be worth it
 MESSAGE, LOAD, WANTED = Struct(">4sHQ"), Struct(">IB"), Struct(">QH")
@@ -53,7 +53,7 @@
 
 class Worker:
     __slots__ = ("id", "zone", "kind", "cell", "units", "state", "born", "out", "curve", "load", "running",
-                 "slots", "peak", "slow", "extra", "extra_at", "usual", "told", "kept", "kept_at", "shared",
+                 "slots", "peak", "slow", "extra", "extra_at", "usual", "told", "last", "shared",
                  "heard", "quick", "aside", "credit", "draw", "drawn_at", "asked_at")
 
     def __init__(self, wkr_id, slots, now):
@@ -67,8 +67,7 @@
             launch.entry = None
         self.born, self.out, self.curve, self.load, self.running, self.peak = born, {}, [], 0.0, 0.0, 1.0
         self.slow, self.extra, self.extra_at, self.heard, self.quick = 1.0, 0.0, 0, 0, None
-        self.aside, self.kept, self.usual, self.told, self.shared = {}, [], 0.0, None, 0.0
-        self.kept_at = 0
+        self.aside, self.last, self.usual, self.told, self.shared = {}, (0, 0), 0.0, None, 0.0
         # No credit for the time before it was known.
         self.credit, self.draw, self.drawn_at, self.asked_at = 0.0, 1.0, now, now
 
@@ -85,7 +84,7 @@
 
 
 class Launch:
-    __slots__ = ("job", "wkr", "n", "sent", "began", "heard", "load", "mean", "place", "clear", "sure",
+    __slots__ = ("job", "wkr", "n", "sent", "began", "heard", "load", "mean", "fetch", "clear", "sure",
                  "entry", "ended", "may_have_run", "revoked")
 
 
@@ -113,10 +112,9 @@
         # What others last told of, when it may be told again, and what was wanted since.
         self.others, self.tell_at, self.fresh_wants, self.by_hash = {}, None, {}, {}
         self.rates = [0.0] * max(1, len(settings["tenants"]))
-        # A key that is not there takes a mean job's time, until more is learned; and how often that is by
-        # its place among the last ones of a worker. At home it is taken to be there.
+        # A key that is not at a worker takes a mean job's time, until more is learned.
         self.fetch = Estimate(self.run.mean, 0.0)
-        self.fetch.n, self.missing = 1, [n / PLACES for n in range(PLACES + 1)]
+        self.fetch.n = 1
         self.wanted, self.orders, self.homes, self.frees = {}, {}, {}, {}
         self.survey()
 
@@ -374,11 +372,9 @@
 
     def learn(self, launch, time, run):
         """Time of a launch on the mean worker that met no load: what the job ran, and what its key took."""
-        job, qt, beyond = launch.job, launch.job.qt, max(0.0, time - launch.job.mean)
-        if 0 <= launch.place < PLACES:
-            self.missing[launch.place] += GAIN * ((beyond > self.fetch.mean / 2) - self.missing[launch.place])
-        if launch.place == PLACES:
-            self.fetch.learn(min(beyond, 4 * self.fetch.mean))
+        job, qt = launch.job, launch.job.qt
+        if launch.fetch:
+            self.fetch.learn(min(max(0.0, time - job.mean), 4 * self.fetch.mean))
         elif launch.sure:
             if job.hint:
                 told, usual = min(time, 8 * launch.mean) / job.hint, qt["ratio"].mean
@@ -632,16 +628,15 @@
             extra = 0.0
             if wkr.shared or wkr.extra or wkr.usual or wkr.running < wkr.load:
                 extra = self.extra(wkr, now)
-            fetch = self.to_fetch(self.place(job.key, wkr, homes)) if job.key else 0.0
+            fetch = self.fetch.mean if job.key and wkr not in homes and wkr.last[0] != job.key else 0.0
             span = int((mean + var) * slow + fetch)
             if wkr.curve or extra:
                 rank = self.contention(wkr, now, span, load, var, extra)
             else:
                 rank = 0.0, load * span
             if fetch:
-                # A slot that is held while a key is fetched does nobody's work, as one above the slots does;
-                # and the key that this one puts out will have to be fetched again.
-                rank = rank[0] + 2 * load * fetch, rank[1]
+                # A slot that is held while a key is fetched does nobody's work, as one above the slots does.
+                rank = rank[0] + DEAR * load * fetch, rank[1]
             found.append((rank, wkr))
             if best is None or rank < least:
                 best, least = wkr, rank
@@ -661,15 +656,6 @@
         above = best.load + load + self.extra(best, now) - max(slots, load)
         return best, above * self.run.mean * slow / slots if above > 0 else 0.0
 
-    def place(self, key, wkr, homes):
-        """Its place among the last keys that went to a worker, -1 at home."""
-        if wkr in homes:
-            return -1
-        return wkr.kept.index(key) if key in wkr.kept else PLACES
-
-    def to_fetch(self, place):
-        return self.fetch.mean * self.missing[place] if place >= 0 else 0.0
-
     def order(self, key):
         """The workers in an order for each key that all dispatchers share, as ids are the same everywhere."""
         order = self.orders.get(key)
@@ -824,19 +810,17 @@
             # No note ever comes: it must not be taken for one that waits, nor its worker for a full one.
             launch.began, wkr.running = now, wkr.running + job.load
         launch.ended = launch.may_have_run = launch.revoked = False
-        launch.place, launch.sure, fetch = -1, True, 0.0
+        launch.fetch, launch.sure = 0.0, True
         if job.key:
-            homes = self.homes.get(job.key) or self.order(job.key)[:1]
-            launch.place = self.place(job.key, wkr, homes)
-            fetch = self.to_fetch(launch.place)
             # Just used here, so it cannot have been put out yet.
-            launch.sure = wkr.kept[:1] == [job.key] and now - wkr.kept_at < 2 * self.run.mean
-            wkr.kept_at = now
-            wkr.kept = [job.key, *(key for key in wkr.kept if key != job.key)][:PLACES]
+            launch.sure = wkr.last[0] == job.key and now - wkr.last[1] < 2 * self.run.mean
+            if wkr.last[0] != job.key and wkr not in (self.homes.get(job.key) or self.order(job.key)[:1]):
+                launch.fetch = self.fetch.mean
+            wkr.last = job.key, now
         # Where no start is told, waits must not be learned as running times or as a worker's speed.
         launch.clear = not launch.began or wkr.load + job.load + self.extra(wkr, now) <= wkr.slots
-        end = now + int((job.mean + job.var) * self.slowness(wkr, now) + fetch)
-        launch.mean += fetch
+        end = now + int((job.mean + job.var) * self.slowness(wkr, now) + launch.fetch)
+        launch.mean += launch.fetch
         self.dues += 1
         launch.entry = (end, self.dues, job.load)
         insort(wkr.curve, launch.entry)
