Worst-Fit by the room that reports leave; reported queues press; running times by lag

The least integrated load ranked a box of two slots with one job before one of four with two; with reports nearly no rank ties any more, so that decided (pick()).

--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -252,7 +252,7 @@
                 # What never started waited longest, and would be missing where most is moved or refused.
                 self.waits.append((self.slack if how == "full" else now - launch.sent, now))
         if how not in ("timeout", "revoked", "unsent", "dropped"):
-            self.judge(now, launch, how)
+            self.judge(now, launch, how, lag)
         if report and self.settings["report_how"] == "piggyback":
             self.reported(now, launch, report)
         if final and not job.closed:
@@ -343,11 +343,12 @@
             job.mean, job.var = qt["run"].mean, SPREAD * qt["run"].var
         job.mean = max(job.mean, 1.0)
 
-    def judge(self, now, launch, how):
+    def judge(self, now, launch, how, lag):
         job, wkr, qt = launch.job, launch.wkr, launch.job.qt
         if how == "completed":
             wkr.heard = now
-            run = max(1, now - (launch.began or launch.sent))
+            # By the host's own measure: news that it took up late says nothing of the worker.
+            run = max(1, launch.sent + lag - (launch.began or launch.sent))
             slow = self.slowness(wkr, now)
             if launch.clear:
                 self.learn_slow(wkr, run / launch.mean, now)
@@ -395,8 +396,7 @@
         wkr.told = report
         frees = self.frees.setdefault(wkr.kind, {})
         frees[round(free)] = frees.get(round(free), 0) + 1
-        if not self.settings["tells_start"]:
-            self.waits.append((int(backlog * self.run.mean / wkr.slots), now))
+        self.waits.append((int(backlog * self.run.mean / wkr.slots), now))
         made = now - self.run.mean
         own = sum(other.load for other in wkr.out.values() if other.sent < made)
         own += launch.load if launch.sent < made else 0
@@ -634,6 +634,9 @@
                 rank = self.contention(wkr, now, span, load, var, extra)
             else:
                 rank = 0.0, load * span
+            if wkr.told:
+                # Kinds differ in slots: what is left of them is the room of Worst-Fit.
+                rank = rank[0], rank[1] - wkr.slots * int(mean + var)
             if fetch:
                 # A slot that is held while a key is fetched does nobody's work, as one above the slots does.
                 rank = rank[0] + DEAR * load * fetch, rank[1]
