--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -347,8 +347,9 @@
         job, wkr, qt = launch.job, launch.wkr, launch.job.qt
         if how == "completed":
             wkr.heard = now
-            # By the host's own measure: news that it took up late says nothing of the worker.
-            run = max(1, launch.sent + lag - (launch.began or launch.sent))
+            # News that the host itself took up late, after a stall of its own, says nothing of the worker.
+            end = launch.sent + lag if now - launch.sent - lag > 2 * self.settings["step"] else now
+            run = max(1, end - (launch.began or launch.sent))
             slow = self.slowness(wkr, now)
             if launch.clear:
                 self.learn_slow(wkr, run / launch.mean, now)
