Settings are an input to the decisions, and the bytes of messages leave the module

The module took over queue types, rates and the way of the list only at its start. configured() names queue types and tenants anew; what was learned stays by name, an open job keeps its record of the type. Workers are set aside by a type's name, as its number moves. Streaming is gone: no deployment has it and no test played it.

--- a/mastledge/adapter/__main__.py
+++ b/mastledge/adapter/__main__.py
@@ -6,6 +6,7 @@
 from mastledge.adapter import frames as wire
 from mastledge.balance import Balancer
 from mastledge.program.settings import BadSetting, pairs_of, plain_map
+from mastledge.protocol import messages
 
 STATE = {0: "gone", 1: "ready", 2: "draining"}
 LIST = {0: "changes", 1: "whole", 2: "cached", 3: "failed"}
@@ -90,8 +91,6 @@
                 self.timers[fields[0]] = None
         elif code == wire.MEMBERSHIP:
             self.members(now, at, balancer, fields)
-        elif code == wire.STARTED:
-            balancer.streaming(now, fields[1], fields[2])
         elif code == wire.ABANDONED:
             balancer.abandoned(now, fields[1])
         elif code == wire.ECHO:
@@ -116,8 +115,9 @@
             elif what == "follow":
                 add(wire.TRACK(11, instance, 1))
             elif what == "message":
-                add(wire.MEMO_TO(8, instance, wire.ALL, len(self.tail), len(decision[1])))
-                self.tail += decision[1]
+                content = messages.encoded(*decision[1:])
+                add(wire.MEMO_TO(8, instance, wire.ALL, len(self.tail), len(content)))
+                self.tail += content
             elif what == "fetch":
                 add(wire.PULL(12, instance))
             elif what == "log":
@@ -148,7 +148,9 @@
                 elif instance in instances:
                     if code == wire.INBOX:
                         content = bytes(wire.tail_part(body, count, at, fields[2], fields[3], "message"))
-                        instances[instance].message(now, fields[1], content)
+                        told = messages.decoded(content)
+                        if told is not None:
+                            instances[instance].message(now, fields[1], *told)
                     else:
                         self.event(now, at, code, fields, instances[instance])
                     touched[instance] = True
--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -1,16 +1,15 @@
 """Every decision of one dispatcher; docs/interface.md describes the calls, docs/design.md the reasons.
 
 The host makes one Balancer an instance from a plain map of settings, a seed and the clock (whole
-microseconds). It reports what happened by members, arrived, started, progress, ended, probed, streaming and
-abandoned, which only update what is known; then it calls decide(now) until that gives None, and again no
-later than wake_at().
+microseconds). It reports what happened by members, arrived, started, progress, ended, probed, message,
+configured and abandoned, which only update what is known; then it calls decide(now) until that gives None,
+and again no later than wake_at().
 """
 
 from bisect import bisect_left, insort
-from collections import deque
+from collections import Counter, deque
 from heapq import heappop, heappush
 from itertools import chain
-from struct import Struct
 from zlib import crc32
 
 GAIN = 0.125  # the paper's alpha and beta
@@ -29,8 +28,7 @@
 CROWDED = 1.1  # times its part of the work, above which a worker is home to no more keys
 SHARE = 0.005  # of all utility, what messages may cost
 RAREST = 2_000_000  # between two messages, above which what they tell is too old to be worth it
-MESSAGE, LOAD, WANTED = Struct(">4sHQ"), Struct(">IB"), Struct(">QH")
-MARK = b"mst1"
+MOST_LOADS, MOST_WANTS = 30, 9  # in a message
 SWEEP = 0.2  # microseconds, in the settings' measure, that looking at one worker takes
 
 
@@ -52,13 +50,13 @@
 
 
 class Worker:
-    __slots__ = ("id", "zone", "kind", "cell", "units", "state", "born", "out", "curve", "load", "running",
-                 "slots", "peak", "slow", "extra", "extra_at", "usual", "told", "last", "shared",
+    __slots__ = ("id", "name", "zone", "kind", "cell", "units", "state", "born", "out", "curve", "load",
+                 "running", "slots", "peak", "slow", "extra", "extra_at", "usual", "told", "last", "shared",
                  "heard", "quick", "aside", "credit", "draw", "drawn_at", "asked_at")
 
     def __init__(self, wkr_id, slots, now):
-        self.id, self.slots, self.out = wkr_id, slots, {}
-        self.state = "ready"
+        self.id, self.slots, self.out, self.state = wkr_id, slots, {}, "ready"
+        self.name = crc32(str(wkr_id).encode())  # the same at every dispatcher
         self.fresh(0, now)
 
     def fresh(self, born, now):
@@ -80,7 +78,7 @@
 
 class Job:
     __slots__ = ("id", "qt", "key", "hint", "load", "tenant", "arrived", "target_at", "last", "launches",
-                 "out", "closed", "streaming", "mean", "var", "again")
+                 "out", "closed", "mean", "var", "again")
 
 
 class Launch:
@@ -90,13 +88,8 @@
 
 class Balancer:
     def __init__(self, settings, seed, now):
-        self.settings, self.seed, self.draws = settings, seed, 0
-        self.queue_types = settings["queue_types"]
-        for n, qt in enumerate(self.queue_types):
-            qt["n"] = n
-            qt["ratio"], qt["run"] = Estimate(1.0, 0.5), Estimate(float(qt["target"]), qt["target"] / 2)
-            qt["most_patience"] = 0
-        self.best_utility = max(qt["utility"] for qt in self.queue_types) or 1.0
+        self.seed, self.draws, self.queue_types, self.rates, self.settings = seed, 0, [], [], {"tenants": ()}
+        self.name_types(settings)
         self.run = Estimate(float(min(qt["target"] for qt in self.queue_types)), 0.0)
         self.waits, self.pressed_at, self.pressure = deque([(0, now)], WAITS), now, 0.0
         self.built, self.work, self.done, self.seconds = 0.0, 0.0, 0.0, 1.0
@@ -105,19 +98,34 @@
         self.keys, self.workers, self.ready, self.part, self.jobs = {}, {}, [], [], {}
         self.todo, self.stops, self.due, self.dues = deque(), deque(), [], 0
         self.spare, self.tidy_at, self.over_at = 2.0, now, None
-        self.following, self.fails, self.ask_at = settings["follow"] == "pushed", 0, None
-        if not self.following:
-            # Dispatchers restarted together must not ask in step.
-            self.ask_at = now + int(self.chance() * 100 * settings["step"])
+        self.asks(now)
         # What others last told of, when it may be told again, and what was wanted since.
-        self.others, self.tell_at, self.fresh_wants, self.by_hash = {}, None, {}, {}
-        self.rates = [0.0] * max(1, len(settings["tenants"]))
+        self.others, self.tell_at, self.fresh_wants, self.by_name = {}, None, Counter(), {}
         # A key that is not at a worker takes a mean job's time, until more is learned.
         self.fetch = Estimate(self.run.mean, 0.0)
         self.fetch.n = 1
-        self.wanted, self.orders, self.homes, self.frees = {}, {}, {}, {}
+        self.wanted, self.orders, self.homes, self.frees = Counter(), {}, {}, {}
         self.survey()
 
+    def name_types(self, settings):
+        """Queue types and tenants are told from those before by name, and keep what was learned of them."""
+        before = {qt["name"]: qt for qt in self.queue_types}
+        rates = dict(zip((tenant["name"] for tenant in self.settings["tenants"]), self.rates, strict=False))
+        for qt in settings["queue_types"]:
+            qt["ratio"], qt["run"] = Estimate(1.0, 0.5), Estimate(float(qt["target"]), qt["target"] / 2)
+            qt["most_patience"] = 0
+            for learned in ("ratio", "run", "most_patience"):
+                qt[learned] = before.get(qt["name"], qt)[learned]
+        self.settings, self.queue_types = settings, settings["queue_types"]
+        self.rates = [rates.get(tenant["name"], 0.0) for tenant in settings["tenants"]] or [sum(self.rates)]
+        self.best_utility = max(qt["utility"] for qt in self.queue_types) or 1.0
+
+    def asks(self, now):
+        self.following, self.fails, self.ask_at = self.settings["follow"] == "pushed", 0, None
+        if not self.following:
+            # Dispatchers restarted together must not ask in step.
+            self.ask_at = now + int(self.chance() * 100 * self.settings["step"])
+
     def chance(self):
         self.draws += 1
         return crc32(b"%d %d" % (self.seed, self.draws)) / 4294967296.0
@@ -156,7 +164,7 @@
         # Each release brings new ids: who has gone is forgotten, once nothing of it is out.
         self.workers = {wkr.id: wkr for wkr in self.workers.values() if wkr.state != "gone" or wkr.out}
         self.ready = [wkr for wkr in self.workers.values() if wkr.state == "ready"]
-        self.orders, self.by_hash = {}, {crc32(str(wkr.id).encode()): wkr for wkr in self.ready}
+        self.orders, self.by_name = {}, {wkr.name: wkr for wkr in self.ready}
         self.settle_keys()
         self.survey()
 
@@ -164,14 +172,14 @@
         job, qt = Job(), self.queue_types[qtype]
         job.id, job.qt, job.key, job.hint, job.load = job_id, qt, key, hint, max(width, memory)
         job.tenant, job.arrived = tenant, now
-        job.launches, job.out, job.closed, job.streaming, job.again = [], 0, False, False, False
+        job.launches, job.out, job.closed, job.again = [], 0, False, False
         # Two steps early: a timer is rung at a step's end, and the answer takes effect there.
         job.last = min(now + max(0, patience - 2 * self.settings["step"]), self.over_at or now + patience)
         qt["most_patience"] = max(qt["most_patience"], patience)
         self.expect(job)
         if key:
-            for wants in (self.wanted, self.fresh_wants):
-                wants[key] = wants.get(key, 0.0) + (hint or job.mean)
+            self.wanted[key] += hint or job.mean
+            self.fresh_wants[key] += hint or job.mean
         if self.tell_at is None and self.interval:
             self.tell_at = now + self.interval
         aim = min(qt["target"] + int(qt["stretch"] * (hint or job.mean)), qt["walltime"])
@@ -187,6 +195,14 @@
         self.todo.append(job)
         self.remind(job.last, job)
 
+    def configured(self, now, settings):
+        """New settings: open jobs keep the terms that they were taken under, and what was learned stays."""
+        follow = self.settings["follow"]
+        self.name_types(settings)
+        if settings["follow"] != follow:
+            self.asks(now)
+        self.survey()
+
     def leaving(self, now, last):
         """The host ends then: what is open is given up while that can still be told."""
         self.over_at = last - 2 * self.settings["step"]
@@ -262,37 +278,24 @@
         if job.closed and not job.out:
             self.jobs.pop(job_id, None)
 
-    def streaming(self, now, job_id, n):
-        launch = self.find(job_id, n)
-        if launch is not None:
-            launch.job.streaming = True
-            launch.began = launch.began or now
-
     def abandoned(self, now, job_id):
         job = self.jobs.get(job_id)
         if job is not None and not job.closed:
             self.close(job)
 
-    def message(self, now, sender, content):
+    def message(self, now, sender, told_at, loads, wants):
         """What another dispatcher has out at each worker, and the keys that its jobs wanted lately."""
-        if not MESSAGE.size <= len(content) <= 256 or sender == self.settings["me"]:
-            return
-        mark, count, told_at = MESSAGE.unpack_from(content)
-        loads, rest = MESSAGE.size, len(content) - MESSAGE.size - count * LOAD.size
         before = self.others.get(sender)
-        if mark != MARK or rest < 0 or rest % WANTED.size or before and before[0] >= told_at:
+        if sender == self.settings["me"] or before and before[0] >= told_at:
             return
         if before:
             self.forget_loads(sender)
-        held = []
-        for name, load in LOAD.iter_unpack(content[loads:loads + count * LOAD.size]):
-            wkr = self.by_hash.get(name)
-            if wkr is not None:
-                wkr.shared += load / 4
-                held.append((wkr, wkr.born, load / 4))
-        self.others[sender] = told_at, now, held
-        for key, work in WANTED.iter_unpack(content[loads + count * LOAD.size:]):
-            self.wanted[key] = self.wanted.get(key, 0.0) + work * 1000
+        known = [(self.by_name[name], load) for name, load in loads if name in self.by_name]
+        for wkr, load in known:
+            wkr.shared += load
+        self.others[sender] = told_at, now, [(wkr, wkr.born, load) for wkr, load in known]
+        for key, work in wants:
+            self.wanted[key] += work
 
     def forget_loads(self, sender):
         for wkr, born, load in self.others.pop(sender)[2]:
@@ -329,13 +332,9 @@
             if known is None:
                 if len(self.keys) >= KEYS_KEPT:
                     del self.keys[next(iter(self.keys))]
-                if self.keys:
-                    n = len(self.keys)
-                    known = Estimate(sum(k.mean for k in self.keys.values()) / n,
-                                     sum(k.var for k in self.keys.values()) / n)
-                else:
-                    known = Estimate(qt["run"].mean, qt["run"].var)
-                self.keys[job.key] = known
+                others = list(self.keys.values()) or [qt["run"]]
+                known = self.keys[job.key] = Estimate(sum(k.mean for k in others) / len(others),
+                                                      sum(k.var for k in others) / len(others))
             job.mean, job.var = known.mean, SPREAD * known.var
         elif job.hint:
             job.mean, job.var = job.hint * qt["ratio"].mean, SPREAD * job.hint * qt["ratio"].var
@@ -365,10 +364,10 @@
         elif how == "error":
             # A release may fail one queue type alone, and quickly, which makes its curve look empty.
             wkr.heard = now
-            self.set_aside(wkr, qt["n"], launch, now)
+            self.set_aside(wkr, qt["name"], launch, now)
         elif how == "full":
             wkr.heard, wkr.extra, wkr.extra_at = now, 2 * wkr.slots, now
-            self.set_aside(wkr, qt["n"], launch, now)
+            self.set_aside(wkr, qt["name"], launch, now)
         elif how in ("unreachable", "lost"):
             self.set_aside(wkr, CUT_OFF if how == "unreachable" else None, launch, now)
 
@@ -380,10 +379,9 @@
         elif launch.sure:
             if job.hint:
                 told, usual = min(time, 8 * launch.mean) / job.hint, qt["ratio"].mean
-                if job.key:
-                    # A short wait is many times a small hint.
-                    told = usual + (told - usual) * min(1.0, job.hint / qt["run"].mean)
-                qt["ratio"].learn(told)
+                # A short wait is many times a small hint.
+                part = min(1.0, job.hint / qt["run"].mean) if job.key else 1.0
+                qt["ratio"].learn(usual + (told - usual) * part)
             if job.key in self.keys:
                 self.keys[job.key].learn(run)
 
@@ -395,8 +393,7 @@
         if report == wkr.told or not (0 <= free < 1e4 and 0 <= backlog < 1e6):
             return
         wkr.told = report
-        frees = self.frees.setdefault(wkr.kind, {})
-        frees[round(free)] = frees.get(round(free), 0) + 1
+        self.frees.setdefault(wkr.kind, Counter())[round(free)] += 1
         self.waits.append((int(backlog * self.run.mean / wkr.slots), now))
         made = now - self.run.mean
         own = sum(other.load for other in wkr.out.values() if other.sent < made)
@@ -418,7 +415,7 @@
 
     def goes_well(self, wkr, launch):
         """What was sent before it was set aside proves nothing of how it does now."""
-        for why in (None, CUT_OFF, launch.job.qt["n"]):
+        for why in (None, CUT_OFF, launch.job.qt["name"]):
             aside = wkr.aside.get(why)
             if aside is not None and launch.sent >= aside.back_at:
                 aside.good += 1
@@ -429,10 +426,7 @@
                     self.count_asides()
 
     def count_asides(self):
-        self.asides = {}
-        for wkr in self.ready:
-            for why in wkr.aside:
-                self.asides[why] = self.asides.get(why, 0) + 1
+        self.asides = Counter(why for wkr in self.ready for why in wkr.aside)
 
     def learn_slow(self, wkr, ratio, now):
         # What a cold worker is assumed to lack must not be learned as its slowness as well.
@@ -494,7 +488,7 @@
             return ("follow", True)
         if self.tell_at is not None and self.tell_at <= now:
             self.tell_at = now + self.interval if self.interval and self.jobs else None
-            return ("message", self.news(now))
+            return self.news(now)
         while self.due and self.due[0][0] <= now:
             what = heappop(self.due)[2]
             if not self.stale(what):
@@ -516,18 +510,13 @@
         return None
 
     def news(self, now):
-        loads = [LOAD.pack(crc32(str(wkr.id).encode()), min(255, round(4 * wkr.load)))
-                 for wkr in self.ready if wkr.load]
-        loads = loads[:(256 - MESSAGE.size) // LOAD.size]
-        room = (256 - MESSAGE.size - len(loads) * LOAD.size) // WANTED.size
-        keys = sorted(self.fresh_wants, key=self.fresh_wants.get, reverse=True)[:room]
-        wants = [WANTED.pack(key, min(65535, round(self.fresh_wants.pop(key) / 1000))) for key in keys]
-        return b"".join((MESSAGE.pack(MARK, len(loads), now), *loads, *wants))
+        loads = sorted(((wkr.load, wkr.name) for wkr in self.ready if wkr.load), reverse=True)[:MOST_LOADS]
+        keys = sorted(self.fresh_wants, key=self.fresh_wants.get, reverse=True)[:MOST_WANTS]
+        wants = [(key, self.fresh_wants.pop(key)) for key in keys]
+        return ("message", now, [(name, load) for load, name in loads], wants)
 
     def settle(self, job, now):
         """The next step of one job, or None while it has to wait."""
-        if job.streaming:
-            return None
         if now >= job.last:
             return self.give_up(job, 0)
         again, job.again = job.again, False
@@ -575,14 +564,14 @@
             scope = job.qt["group"]
             if (scope == "zone" and wkr.zone != group.zone) or (scope == "cell" and wkr.cell != group.cell):
                 return False
-        once, own = job.qt["effect"] == "run-once", (None, CUT_OFF, job.qt["n"])
+        once, own = job.qt["effect"] == "run-once", (None, CUT_OFF, job.qt["name"])
         # Where one queue type fails the others may, and jobs that may run again find that out at less cost.
         for why in (wkr.aside if once else own) if wkr.aside else ():
             aside = wkr.aside.get(why)
             # A trouble that most of the fleet shares is no reason to set workers aside.
             # But no connection is no slowness: with a zone cut off, those that are left carry the jobs.
             most = len(self.ready) - 1 if why == CUT_OFF else len(self.ready) / 2
-            if aside is not None and self.asides.get(why, 0) <= most:
+            if aside is not None and self.asides[why] <= most:
                 wait = 2 * LONGEST_PAUSE if once and why in (None, CUT_OFF) else 0
                 if now < aside.back_at + wait or (why in own and len(wkr.out) >= aside.trickle):
                     return False
@@ -616,7 +605,7 @@
         part = () if special else self.part
         size, look = max(4, len(self.part)), self.look
         first = int(self.chance() * len(self.ready))
-        homes = self.homes.get(job.key) or self.order(job.key)[:1] if job.key else ()
+        homes = self.homes_of(job.key)
         rest = chain(self.ready[first:], self.ready[:first]) if special or self.beyond else ()
         for seen, wkr in enumerate(chain(part, rest)):
             # Past the own part only while no worker is free, and no further than the CPU allows.
@@ -626,21 +615,19 @@
                 continue
             # CPU is scarce and this runs for each worker and job: no call where its answer is plain.
             slow = self.slowness(wkr, now) if wkr.born else wkr.slow
-            extra = 0.0
-            if wkr.shared or wkr.extra or wkr.usual or wkr.running < wkr.load:
-                extra = self.extra(wkr, now)
-            fetch = self.fetch.mean if job.key and wkr not in homes and wkr.last[0] != job.key else 0.0
+            seen_load = wkr.shared or wkr.extra or wkr.usual or wkr.running < wkr.load
+            extra = self.extra(wkr, now) if seen_load else 0.0
+            fetch = self.to_fetch(job.key, wkr, homes) if homes else 0.0
             span = int((mean + var) * slow + fetch)
             if wkr.curve or extra:
                 rank = self.contention(wkr, now, span, load, var, extra)
             else:
                 rank = 0.0, load * span
-            if wkr.told:
-                # Kinds differ in slots: what is left of them is the room of Worst-Fit.
-                rank = rank[0], rank[1] - wkr.slots * int(mean + var)
-            if fetch:
-                # A slot that is held while a key is fetched does nobody's work, as one above the slots does.
-                rank = rank[0] + DEAR * load * fetch, rank[1]
+            if wkr.told or fetch:
+                # Kinds differ in slots: what is left of them is the room of Worst-Fit. And a slot that is
+                # held while a key is fetched does nobody's work, as one above the slots does.
+                room = wkr.slots * int(mean + var) if wkr.told else 0.0
+                rank = rank[0] + DEAR * load * fetch, rank[1] - room
             found.append((rank, wkr))
             if best is None or rank < least:
                 best, least = wkr, rank
@@ -662,31 +649,33 @@
 
     def order(self, key):
         """The workers in an order for each key that all dispatchers share, as ids are the same everywhere."""
-        order = self.orders.get(key)
-        if order is None:
+        if key not in self.orders:
             salt = crc32(b"%d" % key)
             # Multiplied, as sums of this kind alone would give like keys like orders.
-            ranks = [((crc32(str(w.id).encode()) ^ salt) * 0x9E3779B1 % (1 << 32), w) for w in self.ready]
-            order = self.orders[key] = [wkr for _, wkr in sorted(ranks, key=lambda rank: rank[0])]
-        return order
+            self.orders[key] = sorted(self.ready, key=lambda wkr: (wkr.name ^ salt) * 0x9E3779B1 % (1 << 32))
+        return self.orders[key]
+
+    def to_fetch(self, key, wkr, homes):
+        return 0.0 if wkr in homes or wkr.last[0] == key else self.fetch.mean
+
+    def homes_of(self, key):
+        return self.homes.get(key) or self.order(key)[:1] if key else ()
 
     def settle_keys(self):
         """Each key gets as many homes as its jobs fill, the first in its order that are not crowded.
 
         Dispatchers that differ a little over what is wanted still agree on nearly all homes.
         """
-        n, crowd = len(self.ready), {}
+        n, crowd = len(self.ready), Counter()
         # The first jobs tell little: as much is added as a job of another key for each worker.
         whole = max(1.0, sum(self.wanted.values()) + n * self.run.mean)
         self.homes = {}
         for key in sorted(self.wanted, key=self.wanted.get, reverse=True):
             share, order = self.wanted[key] / whole, self.order(key)
             count = 1 + int(share * n)
-            part = share / count
-            homes = [wkr for wkr in order if crowd.get(wkr, 0.0) + part <= CROWDED / n][:count] or order[:1]
-            for wkr in homes:
-                crowd[wkr] = crowd.get(wkr, 0.0) + part
-            self.homes[key] = homes
+            homes = [wkr for wkr in order if crowd[wkr] + share / count <= CROWDED / n][:count]
+            self.homes[key] = homes = homes or order[:1]
+            crowd.update(dict.fromkeys(homes, share / count))
 
     def one_of(self, near):
         """By chance, by declared size: most ranks tie where each dispatcher has few jobs out."""
@@ -757,7 +746,7 @@
         self.survey()
         for sender in [sender for sender, told in self.others.items() if now - told[1] > 2 * RAREST]:
             self.forget_loads(sender)
-        self.wanted = {key: work * 59 / 60 for key, work in self.wanted.items() if work > 1}
+        self.wanted = Counter({key: work * 59 / 60 for key, work in self.wanted.items() if work > 1})
         self.settle_keys()
         # Learned slowness fades: a worker avoided for it is never measured again otherwise.
         fade = min(1.0, 1_000_000 / (16 * self.run.mean + 1))
@@ -771,11 +760,7 @@
         ready, most = self.ready, {}
         for kind, frees in self.frees.items():
             # The most that was free in more than one report in fifty, as they are noisy.
-            few, seen = sum(frees.values()) / 50, 0
-            for most[kind] in sorted(frees, reverse=True):
-                seen += frees[most[kind]]
-                if seen > few:
-                    break
+            most[kind] = max(free for free, n in frees.items() if 50 * n > sum(frees.values()))
         for wkr in ready if most else ():
             slots = max(1.0, most.get(wkr.kind, wkr.slots))
             wkr.peak = max(wkr.peak, slots) if self.settings["tells_start"] else slots
@@ -818,9 +803,7 @@
         if job.key:
             # Just used here, so it cannot have been put out yet.
             launch.sure = wkr.last[0] == job.key and now - wkr.last[1] < 2 * self.run.mean
-            if wkr.last[0] != job.key and wkr not in (self.homes.get(job.key) or self.order(job.key)[:1]):
-                launch.fetch = self.fetch.mean
-            wkr.last = job.key, now
+            launch.fetch, wkr.last = self.to_fetch(job.key, wkr, self.homes_of(job.key)), (job.key, now)
         # Where no start is told, waits must not be learned as running times or as a worker's speed.
         launch.clear = not launch.began or wkr.load + job.load + self.extra(wkr, now) <= wkr.slots
         end = now + int((job.mean + job.var) * self.slowness(wkr, now) + launch.fetch)
--- a/mastledge/program/settings.py
+++ b/mastledge/program/settings.py
@@ -138,6 +138,10 @@
     a_type = {name: read(pairs, f"familyInfo.{name}", numbers, [])
               for name in ("classKind", "classPriority", "classStretch")}
     for i, qt in enumerate(types):
+        # Types are told from those of other settings by their names.
+        qt["name"] = qt["name"] or f"{i}"
+        if any(qt["name"] == other["name"] for other in types[:i]):
+            raise BadSetting(f"setting queueTypes.{i}.name stands twice: {qt['name']!r}")
         if qt["effect"] not in EFFECT:
             raise BadSetting(f"setting queueTypes.{i}.idempotency cannot be read: {qt['effect']!r}")
         if qt["group"] not in ("all", "zone", "cell"):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -35,6 +35,8 @@
         "report_fields": [], "price_crossing": 0, "price_probe": 0, "price_waste": 0, "price_peer": 0,
         "may_message": False, "price_late": 0,
         "tenants": [], "queue_types": types or [queue_type()], **other}
+    for n, qt in enumerate(settings["queue_types"]):
+        qt.setdefault("name", n)
     made = Balancer(settings, seed, 0)
     made.members(0, "whole", [entry(i) for i in range(workers)])
     return made
