SIGHUP switches settings in the running program, both ways by the same step

Seen: SIGHUP named changed settings and waited for a restart (phases.py, reconfigure). Now the file is read and checked as a whole, then the door, the workers' edge and the queue of the decisions change in one turn; jobs that were read before reach the decisions before the new settings do. Zones and kinds keep the numbers that workers in the list have. Messages are off on sockets. A report that lacks a figure says so in place of nought, which was a full worker.

The test switches there and back with a job open each time: each is launched once and answered once, and a type that is gone is 404.

--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -650,7 +650,7 @@
     def order(self, key):
         """The workers in an order for each key that all dispatchers share, as ids are the same everywhere."""
         if key not in self.orders:
-            salt = crc32(b"%d" % key)
+            salt = crc32(str(key).encode())
             # Multiplied, as sums of this kind alone would give like keys like orders.
             self.orders[key] = sorted(self.ready, key=lambda wkr: (wkr.name ^ salt) * 0x9E3779B1 % (1 << 32))
         return self.orders[key]
--- a/mastledge/program/phases.py
+++ b/mastledge/program/phases.py
@@ -37,6 +37,21 @@
     return wanted if soft == resource.RLIM_INFINITY else min(wanted, soft)
 
 
+def words_of(settings):
+    """What the edges need of the settings."""
+    return {"queue_types": [dict(qt) for qt in settings["queue_types"]],
+            "tenants": [tenant["name"] for tenant in settings["tenants"]],
+            "zones": settings["zones"], "kinds": settings["kinds"],
+            "most_held": settings["most_held"], "dispatchers": settings["dispatchers"],
+            "hold_off": settings["most_hold_off"] if settings["may_hold_off"] else 0,
+            "unix_now": time.time_ns() // 1000}
+
+
+def handed(settings):
+    """As the decisions get them: they write what they learn beside them. No message is carried here."""
+    return {**deepcopy(settings), "may_message": False}
+
+
 class Program:
     def __init__(self, told, log, read_again=None):
         self.told, self.log, self.phase, self.read_again = told, log, STARTING, read_again
@@ -44,18 +59,12 @@
         settings = told["settings"]
         self.budget = Budget(descriptors(told["sockets"]), told["memory"])
         self.inbox = inbox = Queue(loop)
-        words = {"queue_types": [dict(qt) for qt in settings["queue_types"]],
-                 "tenants": [tenant["name"] for tenant in settings["tenants"]],
-                 "zones": settings["zones"], "kinds": settings["kinds"],
-                 "most_held": settings["most_held"], "dispatchers": settings["dispatchers"],
-                 "hold_off": settings["most_hold_off"] if settings["may_hold_off"] else 0,
-                 "unix_now": time.time_ns() // 1000}
+        words = words_of(settings)
         self.walltime = max(qt["walltime"] for qt in settings["queue_types"])
         self.discovery = Discovery(loop, self.budget, inbox, told["discovery"], words, log)
         self.workers = Workers(loop, self.budget, inbox, settings, log)
         self.door = Door(loop, self.budget, inbox, words, log)
-        # The decisions write what they learn beside the settings that they are handed.
-        balancer = Balancer(deepcopy(settings), told["seed"], loop.now())
+        balancer = Balancer(handed(settings), told["seed"], loop.now())
         self.router = Router(loop, inbox, balancer, self.workers, self.discovery, log)
         self.following = settings["follow"] == "pushed"
         self.signalled = False
@@ -126,8 +135,32 @@
             self.log("configuration_kept", why=str(error) or type(error).__name__)
             return
         self.discovery.move(told["discovery"])
-        restart = [part for part in ("name", "listen", "settings") if told[part] != self.told[part]]
-        self.log("configuration", discovery=told["discovery"], sockets=told["sockets"], needs_restart=restart)
+        switched = told["settings"] != self.told["settings"]
+        if switched:
+            self.switch(told["settings"])
+        restart = [part for part in ("name", "listen") if told[part] != self.told[part]]
+        self.log("configuration", discovery=told["discovery"], sockets=told["sockets"], settings=switched,
+                 needs_restart=restart)
+
+    def switch(self, settings):
+        """Other settings in the running program, and the same step back.
+
+        Jobs name their queue type by its place. The door and the queue change in one turn, so each reaches
+        the decisions under the settings by which it was read.
+        """
+        self.told["settings"], words = settings, words_of(settings)
+        zones, kinds = self.discovery.configure(words)
+        settings = handed(settings)
+        settings["zone"] = zones[settings["zone"]] if settings["zone"] < len(zones) else settings["zone"]
+        for qt in settings["queue_types"]:
+            qt["kind"] = kinds[int(qt["kind"])] if 0 <= qt["kind"] < len(kinds) else qt["kind"]
+        # Jobs of before may be open for as long as they were promised.
+        self.walltime = max(self.walltime, *(qt["walltime"] for qt in settings["queue_types"]))
+        self.door.configure(words)
+        self.workers.configure(settings)
+        self.inbox.put("configured", settings)
+        if settings["follow"] == "pushed":
+            self.discovery.follow()
 
     def can_serve(self, impatient):
         """A worker is known, and the list is no older than it has to be: the one kept may be of long ago."""
--- a/mastledge/program/settings.py
+++ b/mastledge/program/settings.py
@@ -9,7 +9,20 @@
 
 
 def us(text):
-    return round(float(text) * 1000)
+    return round(figure(text) * 1000)
+
+
+def figure(text):
+    value = float(text)
+    if not 0 <= value < 1e15:
+        raise ValueError(text)
+    return value
+
+
+def count(text):
+    if int(text) < 1:
+        raise ValueError(text)
+    return int(text)
 
 
 def flag(text):
@@ -30,14 +43,14 @@
 
 # ours: (the wire's path, how its text is read, what stands in when it is absent)
 PLAIN = {
-    "dispatchers": ("balancers", int, REQUIRED),
+    "dispatchers": ("balancers", count, REQUIRED),
     "me": ("me", int, REQUIRED),
     "zones": ("zones", words, ()),
     "kinds": ("kinds", words, ()),
     "zone": ("locality", int, 0),
     "step": ("stepMs", us, REQUIRED),
     "follow": ("discovery", str, REQUIRED),
-    "excess_utility": ("excessUtility", float, 1.0),
+    "excess_utility": ("excessUtility", figure, 1.0),
     "utility_basis": ("utilityBasis", str, "request"),
     "tells_start": ("familyInfo.tellsStart", flag, False),
     "progress_every": ("familyInfo.progressMs", us, 0),
@@ -48,26 +61,28 @@
     "may_hold_off": ("limits.retryAfter", flag, False),
     "most_hold_off": ("limits.maxRetryAfterMs", us, 0),
     "parallel": ("limits.parallelTries", flag, False),
-    "launches": ("limits.maxLaunches", int, REQUIRED),
+    "launches": ("limits.maxLaunches", count, REQUIRED),
     "most_held": ("limits.mostHeld", int, 20_000),
     "conn_idle": ("limits.connIdleMs", us, 5_000_000),
     "connect_timeout": ("limits.connectTimeoutMs", us, 250_000),
-    "cpu_a_second": ("limits.cpuUsPerS", float, 0.0),
-    "cpu_a_job": ("limits.cpuUsPerRequest", float, 0.0),
+    "cpu_a_second": ("limits.cpuUsPerS", figure, 0.0),
+    "cpu_a_job": ("limits.cpuUsPerRequest", figure, 0.0),
     "answer_slack": ("rules.answerSlackMs", us, 0),
     "ask_within": ("rules.askWithinMs", us, 0),
-    "cold_from": ("rules.coldFrom", float, REQUIRED),
+    "cold_from": ("rules.coldFrom", figure, REQUIRED),
     "cold_for": ("rules.coldMs", us, REQUIRED),
     "fall_for": ("rules.fallMs", us, REQUIRED),
-    "fall_multiple": ("rules.fallMultiple", float, REQUIRED),
+    "fall_multiple": ("rules.fallMultiple", figure, REQUIRED),
     "grace": ("rules.stopSendingWithinMs", us, REQUIRED),
     "report_how": ("loadInfo.how", str, "silent"),
     "report_fields": ("loadInfo.fields", words, ()),
-    "price_crossing": ("prices.crossZone", float, 0.0),
-    "price_peer": ("prices.peer", float, 0.0),
-    "price_probe": ("prices.probe", float, 0.0),
-    "price_waste": ("prices.waste", float, 0.0),
-    "price_late": ("prices.lateFail", float, 0.0),
+    "price_crossing": ("prices.crossZone", figure, 0.0),
+    "price_peer": ("prices.peer", figure, 0.0),
+    "price_probe": ("prices.probe", figure, 0.0),
+    "price_waste": ("prices.waste", figure, 0.0),
+    "price_late": ("prices.lateFail", figure, 0.0),
+    "tail_part": ("scoreParts.tailPart", figure, 0.0),
+    "borne_misses": ("scoreParts.borneMisses", figure, 0.0),
 }
 QUEUE_TYPE = {
     "name": ("name", str, ""),
@@ -76,11 +91,11 @@
     "effect": ("idempotency", str, REQUIRED),
     "group": ("dedupScope", str, "all"),
     "window": ("windowMs", us, 0),
-    "utility": ("utility", float, 1.0),
-    "late_utility": ("overdueUtility", float, 0.0),
-    "aim_stretch": ("aimStretch", float, 0.0),
+    "utility": ("utility", figure, 1.0),
+    "late_utility": ("overdueUtility", figure, 0.0),
+    "aim_stretch": ("aimStretch", figure, 0.0),
 }
-TENANT = {"name": ("name", str, ""), "portion": ("portion", float, 0.0), "quota": ("quotaPerS", float, 0.0)}
+TENANT = {"name": ("name", str, ""), "portion": ("portion", figure, 0.0), "quota": ("quotaPerS", figure, 0.0)}
 EFFECT = {"pure": "restartable", "token": "deduplicated", "side_effect": "run-once"}
 REPORT = {"outstanding": "outstanding", "backlog": "backlog", "utilization": "busy", "x0": "free_slots",
           "x1": "free_memory"}
--- a/mastledge/protocol/clients.py
+++ b/mastledge/protocol/clients.py
@@ -26,13 +26,17 @@
 
     def __init__(self, loop, budget, inbox, words, log):
         self.loop, self.budget, self.inbox, self.log = loop, budget, inbox, log
-        self.requests, self.most_held = Requests(words), words["most_held"]
         self.clients, self.ready, self.in_hand = set(), False, 0
         self.leaving = self.closing = False
+        self.names, self.known = set(), deque()
+        self.configure(words)
+
+    def configure(self, words):
+        """For what comes from now on; who waits for an answer goes on doing so."""
+        self.requests, self.most_held = Requests(words), words["most_held"]
         self.few = words["dispatchers"] <= 2
         hold_off = min(words["hold_off"], PATIENCE)
         self.no_room = REJECTED, [(b"retry-after", b"%.3f" % (hold_off / 1e6))] if hold_off else [], b""
-        self.names, self.known = set(), deque()
 
     def listen(self, sock):
         while True:
--- a/mastledge/protocol/discovery.py
+++ b/mastledge/protocol/discovery.py
@@ -27,6 +27,11 @@
         self.generation, self.task, self.once, self.trouble = None, None, None, None
         self.answered = False
 
+    def configure(self, words):
+        """The numbers of the zones and kinds that settings name; those in use stay as they are."""
+        return ([self.zones.setdefault(name, len(self.zones)) for name in words["zones"]],
+                [self.kinds.setdefault(name, len(self.kinds)) for name in words["kinds"]])
+
     def entry(self, one):
         """A worker of a list as (id, address, zone, state, start, kind, cell, units)."""
         zone, kind, started = one["zone"], one["machineType"], one["startedAtMs"]
--- a/mastledge/protocol/workers.py
+++ b/mastledge/protocol/workers.py
@@ -12,7 +12,8 @@
 GAIN = 1 / 32
 TAIL = 1_000_000  # for the end of an answer whose last line has come
 REPORTED = {"inflight": "outstanding", "queue": "backlog", "util": "busy", "utilization": "busy",
-            "x0": "free_slots", "x1": "free_memory"}
+            "latency_ms": "recent_ms", "eps": "errors_per_s", "x0": "free_slots", "x1": "free_memory"}
+NOT_TOLD = -1.0  # no figure of a report is below nothing
 
 
 class Peer:
@@ -23,15 +24,22 @@
     def __init__(self, wkr_id):
         self.id, self.address, self.idle, self.born, self.state = wkr_id, None, [], 0, "ready"
 
+    def __str__(self):
+        # Dispatchers agree on homes for keys by this, so it must be the same at all of them.
+        return self.id
+
 
 class Workers:
     def __init__(self, loop, budget, inbox, settings, log):
         self.loop, self.budget, self.inbox, self.log = loop, budget, inbox, log
+        self.breaks = 0.0
+        self.configure(settings)
+
+    def configure(self, settings):
         self.connect_timeout = settings["connect_timeout"]
         self.keep = int(settings["conn_idle"] * RETIRED)
         self.fields = settings["report_fields"]
         self.patience = max(self.connect_timeout, 100_000)
-        self.breaks = 0.0
 
     # Idle connections
 
@@ -230,8 +238,9 @@
         return self.ordered(load) if isinstance(load, dict) else report
 
     def ordered(self, load):
-        named = {REPORTED.get(name, name): value for name, value in load.items()}
-        return tuple(named.get(name, 0.0) for name in self.fields) if named else ()
+        named = {REPORTED.get(name, name): float(value) for name, value in load.items()
+                 if isinstance(value, int | float)}
+        return tuple(named.get(name, NOT_TOLD) for name in self.fields) if named else ()
 
     def probe(self, peer):
         """One look at a worker beside its jobs."""
--- a/mastledge/routing/router.py
+++ b/mastledge/routing/router.py
@@ -118,6 +118,9 @@
     def on_probed(self, now, peer, how, lag, report):
         self.balancer.probed(now, peer, how, lag, report)
 
+    def on_configured(self, now, settings):
+        self.balancer.configured(now, settings)
+
     def on_leaving(self, now, last):
         self.balancer.leaving(now, last)
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -301,3 +301,83 @@
     assert reply.startswith(b"HTTP/1.1 " + status)
     assert (b"connection: close" in reply.lower()) != answered
     assert idle.recv(1) == b"" and not made.router.faults
+
+
+OTHER = {**GOOD["settings"], "balancers": 16, "discovery": "on_request", "zones": ["far", "z"], "locality": 1,
+         "familyInfo": {"tellsStart": False}, "loadInfo": {"how": "piggyback", "fields": ["backlog", "x0"]},
+         "limits": {**GOOD["settings"]["limits"], "peerMessages": True}, "prices": {"peer": 0.01},
+         "scoreParts": {"tailPart": 0.3, "borneMisses": 0.02},
+         "queueTypes": [{**GOOD["settings"]["queueTypes"][0], "name": "file-final",
+                         "idempotency": "side_effect"}]}
+
+
+def answers(sock, body):
+    raw = b'{"id":"%s","state":"done","result":"r","load":{"queue":0,"x0":2,"x1":"no figure"}}\n' % body
+    sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(raw), raw))
+
+
+def test_settings_are_switched_in_a_running_program_and_back_with_jobs_open(tmp_path, monkeypatch):
+    # SIGHUP only named what had changed, and the move would have cost a restart of each dispatcher.
+    monkeypatch.setattr(phases, "FIRST_NEWS", 0)
+    peer, sock = peer_at()
+    door = listen((HERE, 0))
+    at = f"{HERE}:{door.getsockname()[1]}"
+    door.close()
+    known = {"generation": 1, "reset": True, "instances": [{
+        "instanceId": "s-1", "hostPort": f"{HERE}:{peer.address[1]}", "zone": "z", "machineType": "k",
+        "cell": 0, "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0}]}
+    rig = Rig()
+    path = file(tmp_path, listen=at, known=known)
+    made = Program(configuration(path, {}), rig.log, lambda: configuration(path, {}))
+    rig.loop, made.sock = made.loop, made.listening()
+    made.inbox.reader, made.life = rig.loop.spawn(made.router.run()), rig.loop.spawn(made.phases())
+    assert rig.turn(lambda: made.phase == SERVING)
+    clients, name = [], GOOD["settings"]["queueTypes"][0]["name"]
+
+    def taken(path, txn):
+        clients.append(socket.create_connection(made.told["listen"], 2))
+        clients[-1].sendall(helpers.job(path, X_Txn=txn, X_Remaining_Ms=4000))
+        return rig.called(sock)
+
+    open_before, head = taken(f"/{name}", "aa01")
+    assert b"aa01" in head
+    file(tmp_path, listen=at, known=known, settings=OTHER)
+    made.reconfigure()
+    open_between, head = taken("/file-final", "aa02")
+    assert b"aa02" in head and made.router.balancer.settings["report_how"] == "piggyback"
+    assert made.router.balancer.settings["may_message"] is False
+    assert made.router.balancer.settings["zone"] == made.router.balancer.ready[0].zone
+    answers(open_before, b"aa01")
+    assert rig.reply(clients[0]).startswith(b"HTTP/1.1 200")
+    file(tmp_path, listen=at, known=known)
+    made.reconfigure()
+    answers(open_between, b"aa02")
+    assert rig.reply(clients[1]).startswith(b"HTTP/1.1 200")
+    clients.append(socket.create_connection(made.told["listen"], 2))
+    clients[2].sendall(helpers.job("/file-final", X_Txn="aa03"))
+    assert rig.reply(clients[2]).startswith(b"HTTP/1.1 404")
+    assert [fields["settings"] for what, fields in rig.logged if what == "configuration"] == [True, True]
+    assert made.router.totals["completed"] == 2 and not made.router.jobs and not made.router.faults
+    assert made.router.count == 2 and made.told["settings"] == configuration(path, {})["settings"]
+    for one in (*clients, open_before, open_between, sock, made.sock):
+        one.close()
+
+
+@pytest.mark.parametrize(("changed", "says"), [
+    ({"queueTypes": [{**GOOD["settings"]["queueTypes"][0], "idempotency": "perhaps"}]}, "idempotency"),
+    ({"queueTypes": 2 * GOOD["settings"]["queueTypes"]}, "stands twice"),
+    ({"prices": {"peer": "nan"}}, "prices.peer"), ({"scoreParts": {"borneMisses": -1}}, "borneMisses"), ({"balancers": 0}, "balancers")])
+def test_settings_that_fail_their_check_change_nothing_in_a_running_program(changed, says, tmp_path):
+    rig = Rig()
+    path = file(tmp_path)
+    made = Program(configuration(path, {}), rig.log, lambda: configuration(path, {}))
+    before = made.told["settings"]
+    file(tmp_path, settings={**GOOD["settings"], **changed})
+    made.reconfigure()
+    ((what, fields),) = rig.logged
+    assert what == "configuration_kept" and says in fields["why"] and "\n" not in fields["why"]
+    assert made.told["settings"] is before and not any(item[0] == "configured" for item in made.inbox.items)
+
+
+def test_a_host_without_messages_never_asks_for_one():
+    assert phases.handed({"may_message": True, "queue_types": []})["may_message"] is False
