--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -366,7 +366,8 @@
 @pytest.mark.parametrize(("changed", "says"), [
     ({"queueTypes": [{**GOOD["settings"]["queueTypes"][0], "idempotency": "perhaps"}]}, "idempotency"),
     ({"queueTypes": 2 * GOOD["settings"]["queueTypes"]}, "stands twice"),
-    ({"prices": {"peer": "nan"}}, "prices.peer"), ({"scoreParts": {"borneMisses": -1}}, "borneMisses"), ({"balancers": 0}, "balancers")])
+    ({"prices": {"peer": "nan"}}, "prices.peer"), ({"scoreParts": {"borneMisses": -1}}, "borneMisses"),
+    ({"balancers": 0}, "balancers")])
 def test_settings_that_fail_their_check_change_nothing_in_a_running_program(changed, says, tmp_path):
     rig = Rig()
     path = file(tmp_path)
