--- a/mastledge/adapter/__main__.py
+++ b/mastledge/adapter/__main__.py
@@ -93,9 +93,6 @@
             self.members(now, at, balancer, fields)
         elif code == wire.ABANDONED:
             balancer.abandoned(now, fields[1])
-        elif code == wire.ECHO:
-            _, wkr, lag, how, n, *report = fields
-            balancer.probed(now, wkr, ending(at, how), span(at, "lag", lag), report[:n])
 
     def pull(self, now, instance, balancer):
         """Every decision of one instance, then its next waking."""
@@ -110,18 +107,12 @@
                 add(wire.GIVE_UP(3, instance, decision[1]))
             elif what == "revoke":
                 add(wire.REVOKE(4, instance, decision[1], decision[2]))
-            elif what == "probe":
-                add(wire.SAMPLE(6, instance, decision[1]))
             elif what == "follow":
                 add(wire.TRACK(11, instance, 1))
             elif what == "message":
                 content = messages.encoded(*decision[1:])
                 add(wire.MEMO_TO(8, instance, wire.ALL, len(self.tail), len(content)))
                 self.tail += content
-            elif what == "fetch":
-                add(wire.PULL(12, instance))
-            elif what == "log":
-                self.text(wire.SAY_LOG, instance, decision[1])
             else:
                 raise RuntimeError(f"no such decision: {what}")
         wake, timer = balancer.wake_at(), self.timers[instance]
--- a/mastledge/adapter/frames.py
+++ b/mastledge/adapter/frames.py
@@ -30,12 +30,10 @@
 GIVE_UP = Struct(">HII14x").pack
 REVOKE = Struct(">HIIB13x").pack
 NOTIFY_ME = Struct(">HIQd2x").pack
-SAMPLE = Struct(">HI6s12x").pack
 TEXT = Struct(">HIII10x").pack
 MEMO_TO, ALL = Struct(">HIHII8x").pack, 0xFFFF
 TRACK = Struct(">HIB17x").pack
-PULL = Struct(">HI18x").pack
-SAY_LOG, FATAL = 9, 10
+FATAL = 10
 
 
 class BadFrame(ValueError):
--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -1,9 +1,7 @@
 """Every decision of one dispatcher; docs/interface.md describes the calls, docs/design.md the reasons.
 
-The host makes one Balancer an instance from a plain map of settings, a seed and the clock (whole
-microseconds). It reports what happened by members, arrived, started, progress, ended, probed, message,
-configured and abandoned, which only update what is known; then it calls decide(now) until that gives None,
-and again no later than wake_at().
+Times are whole microseconds. Inputs only update what is known; then the host calls decide(now) until that
+gives None, and again no later than wake_at().
 """
 
 from bisect import bisect_left, insort
@@ -21,7 +19,6 @@
 NEVER_RAN = ("full", "unreachable", "unsent")
 CUT_OFF = -1  # why a worker that takes no connection is set aside; None: lost or silent; else a queue type
 KEYS_KEPT = 4096
-COLD = 1.0  # of a cold worker's budget, where all that is completed is all that can be
 PART = 6  # workers that a dispatcher of little traffic keeps to
 LONGEST_PAUSE = 4_000_000  # between two trials of a worker that was set aside
 DEAR = 8  # fetches, as which one counts: each puts out a key that has to be fetched again, and so on
@@ -78,7 +75,7 @@
 
 class Job:
     __slots__ = ("id", "qt", "key", "hint", "load", "tenant", "arrived", "target_at", "last", "launches",
-                 "out", "closed", "mean", "var", "again")
+                 "out", "ended", "mean", "var", "again")
 
 
 class Launch:
@@ -150,17 +147,15 @@
         for zone, wkr_id, state, born, cls, cell, units in entries:
             wkr = self.workers.get(wkr_id)
             if wkr is None:
-                others = [w.slots for w in self.ready]
-                slots = sum(others) / len(others) if others else FIRST_SLOTS
-                wkr = Worker(wkr_id, slots, now)
-                wkr.born, self.workers[wkr_id] = born, wkr
+                others = [w.slots for w in self.ready] or [FIRST_SLOTS]
+                wkr = self.workers[wkr_id] = Worker(wkr_id, sum(others) / len(others), now)
+                wkr.born = born
             elif born > wkr.born:
                 wkr.fresh(born, now)
             wkr.zone, wkr.kind, wkr.cell, wkr.units, wkr.state = zone, cls, cell, units, state
-        if kind != "changes":
-            for wkr in self.workers.values():
-                if wkr.id not in named:
-                    wkr.state = "gone"
+        for wkr in self.workers.values() if kind != "changes" else ():
+            if wkr.id not in named:
+                wkr.state = "gone"
         # Each release brings new ids: who has gone is forgotten, once nothing of it is out.
         self.workers = {wkr.id: wkr for wkr in self.workers.values() if wkr.state != "gone" or wkr.out}
         self.ready = [wkr for wkr in self.workers.values() if wkr.state == "ready"]
@@ -172,7 +167,7 @@
         job, qt = Job(), self.queue_types[qtype]
         job.id, job.qt, job.key, job.hint, job.load = job_id, qt, key, hint, max(width, memory)
         job.tenant, job.arrived = tenant, now
-        job.launches, job.out, job.closed, job.again = [], 0, False, False
+        job.launches, job.out, job.ended, job.again = [], 0, False, False
         # Two steps early: a timer is rung at a step's end, and the answer takes effect there.
         job.last = min(now + max(0, patience - 2 * self.settings["step"]), self.over_at or now + patience)
         qt["most_patience"] = max(qt["most_patience"], patience)
@@ -218,12 +213,11 @@
         launch = self.find(job_id, n)
         if launch is None or launch.began or launch.ended:
             return
-        launch.began, wkr = now, launch.wkr
-        launch.heard = wkr.heard = now
+        wkr = launch.wkr
+        launch.began = launch.heard = wkr.heard = now
         if launch.entry is None:
             return
-        lag, wkr.running = now - launch.sent, wkr.running + launch.load
-        step = self.settings["step"]
+        lag, wkr.running, step = now - launch.sent, wkr.running + launch.load, self.settings["step"]
         quick = wkr.quick = min(lag, wkr.quick + (wkr.quick >> 9)) if wkr.quick else min(lag, 2 * step)
         # Rises slowly and starts low, or a dispatcher that starts under overload takes queues for the usual.
         wait = lag - 3 * quick - 4 * step
@@ -259,9 +253,8 @@
         job, launch = self.jobs.get(job_id), self.find(job_id, n)
         if launch is None or launch.ended:
             return
-        launch.ended = True
+        launch.ended, launch.may_have_run = True, how not in NEVER_RAN
         job.out -= 1
-        launch.may_have_run = how not in NEVER_RAN
         if launch.entry is not None:
             self.off(launch)
             if how == "full" or not launch.began and how in ("revoked", "timeout"):
@@ -271,16 +264,14 @@
             self.judge(now, launch, how, lag)
         if report and self.settings["report_how"] == "piggyback":
             self.reported(now, launch, report)
-        if final and not job.closed:
-            self.close(job)
-        elif not job.closed:
-            self.todo.append(job)
-        if job.closed and not job.out:
+        if not job.ended:
+            self.close(job) if final else self.todo.append(job)
+        if job.ended and not job.out:
             self.jobs.pop(job_id, None)
 
     def abandoned(self, now, job_id):
         job = self.jobs.get(job_id)
-        if job is not None and not job.closed:
+        if job is not None and not job.ended:
             self.close(job)
 
     def message(self, now, sender, told_at, loads, wants):
@@ -294,18 +285,13 @@
         for wkr, load in known:
             wkr.shared += load
         self.others[sender] = told_at, now, [(wkr, wkr.born, load) for wkr, load in known]
-        for key, work in wants:
-            self.wanted[key] += work
+        self.wanted.update(dict(wants))
 
     def forget_loads(self, sender):
         for wkr, born, load in self.others.pop(sender)[2]:
             if wkr.born == born:
                 wkr.shared -= load
 
-    def probed(self, now, wkr_id, how, lag, report):
-        if how == "completed" and wkr_id in self.workers:
-            self.workers[wkr_id].heard = now
-
     # What is known
 
     def off(self, launch):
@@ -357,8 +343,16 @@
                 self.lag.learn(max(0, run - launch.mean * slow))
             self.work += (job.hint or job.mean) * job.load
             qt["run"].learn(run)
-            if launch.clear:
-                self.learn(launch, run / slow, run)
+            if launch.clear and launch.fetch:
+                self.fetch.learn(min(max(0.0, run / slow - job.mean), 4 * self.fetch.mean))
+            elif launch.clear and launch.sure:
+                if job.hint:
+                    told, usual = min(run / slow, 8 * launch.mean) / job.hint, qt["ratio"].mean
+                    # A short wait is many times a small hint.
+                    part = min(1.0, job.hint / qt["run"].mean) if job.key else 1.0
+                    qt["ratio"].learn(usual + (told - usual) * part)
+                if job.key in self.keys:
+                    self.keys[job.key].learn(run)
             if wkr.aside:
                 self.goes_well(wkr, launch)
         elif how == "error":
@@ -371,20 +365,6 @@
         elif how in ("unreachable", "lost"):
             self.set_aside(wkr, CUT_OFF if how == "unreachable" else None, launch, now)
 
-    def learn(self, launch, time, run):
-        """Time of a launch on the mean worker that met no load: what the job ran, and what its key took."""
-        job, qt = launch.job, launch.job.qt
-        if launch.fetch:
-            self.fetch.learn(min(max(0.0, time - job.mean), 4 * self.fetch.mean))
-        elif launch.sure:
-            if job.hint:
-                told, usual = min(time, 8 * launch.mean) / job.hint, qt["ratio"].mean
-                # A short wait is many times a small hint.
-                part = min(1.0, job.hint / qt["run"].mean) if job.key else 1.0
-                qt["ratio"].learn(usual + (told - usual) * part)
-            if job.key in self.keys:
-                self.keys[job.key].learn(run)
-
     def reported(self, now, launch, report):
         """What a worker told of its load with an answer, less what was one's own when that was made."""
         wkr, told = launch.wkr, dict(zip(self.settings["report_fields"], report, strict=False))
@@ -396,8 +376,7 @@
         self.frees.setdefault(wkr.kind, Counter())[round(free)] += 1
         self.waits.append((int(backlog * self.run.mean / wkr.slots), now))
         made = now - self.run.mean
-        own = sum(other.load for other in wkr.out.values() if other.sent < made)
-        own += launch.load if launch.sent < made else 0
+        own = sum(other.load for other in (launch, *wkr.out.values()) if other.sent < made)
         wkr.extra, wkr.extra_at = max(0.0, wkr.slots - free + backlog - own), now
         wkr.usual += GAIN * (wkr.extra - wkr.usual)
 
@@ -446,7 +425,7 @@
 
     def extra(self, wkr, now):
         """Load of others, as last seen, fading; never less than what keeps own jobs waiting."""
-        if self.others:
+        if 2 * len(self.others) >= self.settings["dispatchers"]:
             return max(0.0, wkr.shared)
         extra = wkr.usual + (wkr.extra - wkr.usual) / (1 + (now - wkr.extra_at) / self.run.mean)
         if wkr.running < wkr.load:
@@ -458,26 +437,20 @@
         return extra
 
     def close(self, job):
-        job.closed = True
-        if job.out:
-            if self.settings["may_revoke"]:
-                self.stops.extend(launch for launch in job.launches if not launch.ended)
-        else:
+        job.ended = True
+        if not job.out:
             self.jobs.pop(job.id, None)
+        elif self.settings["may_revoke"]:
+            self.stops.extend(launch for launch in job.launches if not launch.ended)
 
     # Decisions
 
     def wake_at(self):
         due = self.due
-        while due and self.stale(due[0][2]):
+        while due and due[0][2].ended:
             heappop(due)
-        when = [due[0][0]] if due else []
-        when += [at for at in (self.ask_at, self.tell_at) if at is not None]
-        return min(when, default=None)
-
-    @staticmethod
-    def stale(what):
-        return what.closed if what.__class__ is Job else what.ended
+        when = (due[0][0] if due else None, self.ask_at, self.tell_at)
+        return min((at for at in when if at is not None), default=None)
 
     def decide(self, now):
         if self.tidy_at <= now:
@@ -491,7 +464,7 @@
             return self.news(now)
         while self.due and self.due[0][0] <= now:
             what = heappop(self.due)[2]
-            if not self.stale(what):
+            if not what.ended:
                 if what.__class__ is Launch:
                     self.check(what, now)
                 else:
@@ -503,17 +476,16 @@
                 return ("revoke", launch.job.id, launch.n)
         while self.todo:
             job = self.todo.popleft()
-            if not job.closed:
+            if not job.ended:
                 decision = self.settle(job, now)
                 if decision is not None:
                     return decision
         return None
 
     def news(self, now):
-        loads = sorted(((wkr.load, wkr.name) for wkr in self.ready if wkr.load), reverse=True)[:MOST_LOADS]
-        keys = sorted(self.fresh_wants, key=self.fresh_wants.get, reverse=True)[:MOST_WANTS]
-        wants = [(key, self.fresh_wants.pop(key)) for key in keys]
-        return ("message", now, [(name, load) for load, name in loads], wants)
+        busiest = sorted(self.ready, key=lambda wkr: -wkr.load)[:MOST_LOADS]
+        wants = [(key, self.fresh_wants.pop(key)) for key, _ in self.fresh_wants.most_common(MOST_WANTS)]
+        return ("message", now, [(wkr.name, wkr.load) for wkr in busiest if wkr.load], wants)
 
     def settle(self, job, now):
         """The next step of one job, or None while it has to wait."""
@@ -557,13 +529,11 @@
         return ("reject", job.id, min(int(hold_off), most))
 
     def eligible(self, wkr, job, now, group):
-        kind = job.qt["kind"]
-        if kind >= 0 and wkr.kind != kind:
+        if job.qt["kind"] not in (-1, wkr.kind):
+            return False
+        scope = job.qt["group"]
+        if group is not None and scope != "all" and getattr(wkr, scope) != getattr(group, scope):
             return False
-        if group is not None:
-            scope = job.qt["group"]
-            if (scope == "zone" and wkr.zone != group.zone) or (scope == "cell" and wkr.cell != group.cell):
-                return False
         once, own = job.qt["effect"] == "run-once", (None, CUT_OFF, job.qt["name"])
         # Where one queue type fails the others may, and jobs that may run again find that out at less cost.
         for why in (wkr.aside if once else own) if wkr.aside else ():
@@ -575,23 +545,21 @@
                 wait = 2 * LONGEST_PAUSE if once and why in (None, CUT_OFF) else 0
                 if now < aside.back_at + wait or (why in own and len(wkr.out) >= aside.trickle):
                     return False
-        for launch in job.launches:
-            if launch.wkr is wkr and (not launch.ended or len(job.launches) < len(self.ready)):
-                return False
+        elsewhere = len(job.launches) < len(self.ready)
+        if any(launch.wkr is wkr and (elsewhere or not launch.ended) for launch in job.launches):
+            return False
         return not wkr.born or now - wkr.born >= self.settings["cold_for"] or self.cold_room(wkr, job, now)
 
     def cold_room(self, wkr, job, now):
-        """Cold workers fall over under the sum of all dispatchers; one part in their number is below a job.
+        """Cold workers fall over under the sum of all: one's own part is set against one's completed work.
 
-        What all complete is no more than all can do, so a part set against this dispatcher's completed work a
-        worker sums up safely however traffic is spread. Below a job it is a matter of chance, drawn anew each
-        half window, and what was not used is not saved longer: idle dispatchers must not come all at once.
+        Below a job it is a matter of chance, as docs/design.md shows, and nothing is saved for longer.
         """
         settings, work = self.settings, (job.hint or job.mean) * job.load
         half, room = settings["fall_for"] // 2, settings["fall_multiple"] * self.warmth(wkr, now)
         # Under overload all look past their parts, and then at most half as much again comes from there.
         sharers = len(self.part) if self.beyond and wkr in self.part else 2 * len(self.ready)
-        rate = room * max(COLD * self.done / sharers, 0.7 * self.capacity / settings["dispatchers"])
+        rate = room * max(self.done / sharers, 0.7 * self.capacity / settings["dispatchers"])
         wkr.credit, wkr.asked_at = min(wkr.credit + rate * (now - wkr.asked_at), rate * half), now
         if now >= wkr.drawn_at + half:
             wkr.draw, wkr.drawn_at = self.chance(), now
@@ -604,8 +572,7 @@
         special = job.launches or job.qt["kind"] >= 0
         part = () if special else self.part
         size, look = max(4, len(self.part)), self.look
-        first = int(self.chance() * len(self.ready))
-        homes = self.homes_of(job.key)
+        first, homes = int(self.chance() * len(self.ready)), self.homes_of(job.key)
         rest = chain(self.ready[first:], self.ready[:first]) if special or self.beyond else ()
         for seen, wkr in enumerate(chain(part, rest)):
             # Past the own part only while no worker is free, and no further than the CPU allows.
@@ -613,16 +580,14 @@
                 break
             if (wkr.aside or wkr.born or special) and not self.eligible(wkr, job, now, group):
                 continue
-            # CPU is scarce and this runs for each worker and job: no call where its answer is plain.
             slow = self.slowness(wkr, now) if wkr.born else wkr.slow
-            seen_load = wkr.shared or wkr.extra or wkr.usual or wkr.running < wkr.load
-            extra = self.extra(wkr, now) if seen_load else 0.0
+            # CPU is scarce and this runs for each worker and job: no call where its answer is plain.
+            others = wkr.shared or wkr.extra or wkr.usual or wkr.running < wkr.load
+            extra = self.extra(wkr, now) if others else 0.0
             fetch = self.to_fetch(job.key, wkr, homes) if homes else 0.0
             span = int((mean + var) * slow + fetch)
-            if wkr.curve or extra:
-                rank = self.contention(wkr, now, span, load, var, extra)
-            else:
-                rank = 0.0, load * span
+            busy = wkr.curve or extra
+            rank = self.contention(wkr, now, span, load, var, extra) if busy else (0.0, load * span)
             if wkr.told or fetch:
                 # Kinds differ in slots: what is left of them is the room of Worst-Fit. And a slot that is
                 # held while a key is fetched does nobody's work, as one above the slots does.
@@ -637,7 +602,6 @@
         over, area = least[0], least[1] + load * var
         near = [wkr for rank, wkr in found if rank[0] == over and rank[1] <= area]
         if self.settings["price_crossing"]:
-            # Late starts count in the areas, so a crowded zone is no tie for those who have met it.
             near = [wkr for wkr in near if wkr.zone == self.settings["zone"]] or near
         best = self.one_of(near)
         if self.beyond and not special and best not in part:
@@ -662,16 +626,13 @@
         return self.homes.get(key) or self.order(key)[:1] if key else ()
 
     def settle_keys(self):
-        """Each key gets as many homes as its jobs fill, the first in its order that are not crowded.
-
-        Dispatchers that differ a little over what is wanted still agree on nearly all homes.
-        """
+        """Each key gets as many homes as its jobs fill, the first in its order that are not crowded."""
         n, crowd = len(self.ready), Counter()
         # The first jobs tell little: as much is added as a job of another key for each worker.
         whole = max(1.0, sum(self.wanted.values()) + n * self.run.mean)
         self.homes = {}
-        for key in sorted(self.wanted, key=self.wanted.get, reverse=True):
-            share, order = self.wanted[key] / whole, self.order(key)
+        for key, wanted in self.wanted.most_common():
+            share, order = wanted / whole, self.order(key)
             count = 1 + int(share * n)
             homes = [wkr for wkr in order if crowd[wkr] + share / count <= CROWDED / n][:count]
             self.homes[key] = homes = homes or order[:1]
@@ -715,11 +676,9 @@
         return wait > limit * (0.5 + 0.5 * self.chance())
 
     def press(self, now):
-        """Load that is not seen shows late and only where a job went, so the last starts are asked.
+        """The mean of the last waits, each at most the slack: in a release some starts are late by far.
 
-        Their mean, each at most the slack: one heavy job says nothing of the fleet, but in a release some
-        starts are late by far and the rest at once. Summed up over time, as a short trouble common to all
-        passes, and turning jobs away for it loses more than it saves.
+        Summed up over time: a short trouble common to all passes, and turning jobs away for it loses more.
         """
         # A dispatcher of little traffic holds old waits, and the fewer it lets through the older they get.
         waits = [min(wait / (1 + (now - at) / (4 * self.run.mean)), self.slack) for wait, at in self.waits]
@@ -731,11 +690,9 @@
     def excess(self, tenant):
         """The share of a tenant's traffic that is over its quota, as far as this dispatcher can tell."""
         tenants = self.settings["tenants"]
-        if tenant >= len(tenants) or not tenants[tenant]["quota"]:
-            return 0.0
-        rate = self.rates[tenant] / self.seconds
-        mine = tenants[tenant]["quota"] / self.settings["dispatchers"]
-        return max(0.0, 1 - mine / rate) if rate else 0.0
+        quota = tenants[tenant]["quota"] if tenant < len(tenants) else 0
+        rate = self.rates[tenant] / self.seconds if quota else 0
+        return max(0.0, 1 - quota / self.settings["dispatchers"] / rate) if rate else 0.0
 
     def tidy(self, now):
         """Once a second: traffic fades; speeds stay relative, so what all share moves the estimates."""
@@ -752,8 +709,7 @@
         fade = min(1.0, 1_000_000 / (16 * self.run.mean + 1))
         mean = sum(wkr.slow for wkr in self.ready) / max(1, len(self.ready))
         for wkr in self.ready:
-            wkr.slow /= mean
-            wkr.slow += fade * (1.0 - wkr.slow)
+            wkr.slow = wkr.slow / mean + fade * (1.0 - wkr.slow / mean)
 
     def survey(self):
         """Figures over the whole fleet, once a second: taken for each job they cost more than deciding."""
@@ -767,7 +723,8 @@
             wkr.slots = wkr.peak
         self.count_asides()
         slots = sum(wkr.peak for wkr in ready) / len(ready) if ready else 1.0
-        self.capacity = slots / max(qt["ratio"].mean for qt in self.queue_types)
+        # Slots that are told of may share cores, and a cold worker must not be taken for a larger one.
+        self.capacity = (0.75 if most else 1.0) * slots / max(qt["ratio"].mean for qt in self.queue_types)
         settings, rate = self.settings, max(1.0, sum(self.rates) / self.seconds)
         budgets = [limit for limit in (settings["cpu_a_job"], settings["cpu_a_second"] / rate) if limit]
         # A large fleet looked at whole for each job would make all jobs late.
@@ -776,8 +733,8 @@
         # it comes again, and each job costs a connection. Parts differ, so all workers are in some.
         size = max(PART, min(int(rate * settings["conn_idle"] / 2e6), self.look))
         self.beyond, size = size < len(ready), min(size, len(ready))
-        kept = [wkr for wkr in self.part if wkr.state == "ready" and not wkr.aside][:size]
-        part = kept if self.beyond else ready
+        kept = [wkr for wkr in self.part if wkr.state == "ready" and not wkr.aside]
+        part = kept[:size] if self.beyond else ready
         for _ in range(8 * size):
             if len(part) >= size:
                 break
@@ -795,11 +752,11 @@
         launch = Launch()
         launch.job, launch.wkr, launch.n, launch.sent = job, wkr, len(job.launches), now
         launch.load, launch.mean, launch.began, launch.heard = job.load, job.mean, 0, now
+        launch.fetch, launch.sure = 0.0, True
         if not self.settings["tells_start"]:
             # No note ever comes: it must not be taken for one that waits, nor its worker for a full one.
             launch.began, wkr.running = now, wkr.running + job.load
         launch.ended = launch.may_have_run = launch.revoked = False
-        launch.fetch, launch.sure = 0.0, True
         if job.key:
             # Just used here, so it cannot have been put out yet.
             launch.sure = wkr.last[0] == job.key and now - wkr.last[1] < 2 * self.run.mean
@@ -818,11 +775,12 @@
         if wkr.born and now - wkr.born < self.settings["cold_for"]:
             wkr.credit -= (job.hint or job.mean) * job.load
             wkr.draw, wkr.drawn_at = self.chance(), now
-        # Not started by the time that a free worker takes to start one: load that is not seen is in its way.
-        slack = job.target_at - now - job.mean * self.slowness(wkr, now)
-        part = 2 if self.settings["parallel"] else 3
-        soon = now + int(max(3 * (wkr.quick or 0) + 4 * self.settings["step"], slack / part))
-        self.remind(soon if self.settings["tells_start"] else end, launch)
+        if self.settings["tells_start"]:
+            # Not started in the time that a free worker takes: load that is not seen is in its way.
+            slack = job.target_at - now - job.mean * self.slowness(wkr, now)
+            part = 2 if self.settings["parallel"] else 3
+            end = now + int(max(3 * (wkr.quick or 0) + 4 * self.settings["step"], slack / part))
+        self.remind(end, launch)
         return ("launch", job.id, wkr.id, 0)
 
     def check(self, launch, now):
@@ -830,12 +788,12 @@
         wkr, job = launch.wkr, launch.job
         if launch.began and launch.entry is not None and now < launch.entry[0]:
             return
-        if launch.began and self.settings["tells_start"]:
-            ratio = (now - launch.began) / launch.mean
-            if ratio > self.slowness(wkr, now):
-                self.learn_slow(wkr, ratio, now)
-        if not (launch.began and self.settings["tells_start"]) and wkr.heard < launch.sent:
-            due = self.run.mean if self.settings["tells_start"] else launch.mean * self.slowness(wkr, now)
+        slow, told = self.slowness(wkr, now), self.settings["tells_start"]
+        if launch.began and told:
+            if (now - launch.began) / launch.mean > slow:
+                self.learn_slow(wkr, (now - launch.began) / launch.mean, now)
+        elif wkr.heard < launch.sent:
+            due = self.run.mean if told else launch.mean * slow
             if now - launch.sent > self.lag.mean + 4 * self.lag.var + due:
                 self.set_aside(wkr, None, launch, now)
         # Ever rarer: on an overloaded fleet looking again and again at all that waits makes all late.
@@ -853,11 +811,10 @@
             return
         if silent and effect == "run-once" and now - launch.heard > 2 * self.settings["progress_every"]:
             self.silent(now, job.id, launch.n)
-        if job.closed or launch.revoked or self.spare < 1 or job.out > 1 or effect == "run-once":
-            return
-        if not parallel and (launch.began and not silent or not self.settings["may_revoke"]):
+        if job.ended or launch.revoked or self.spare < 1 or job.out > 1 or effect == "run-once":
             return
-        if len(job.launches) + 2 > self.settings["launches"]:
+        stays = not parallel and (launch.began and not silent or not self.settings["may_revoke"])
+        if stays or len(job.launches) + 2 > self.settings["launches"]:
             return
         best, wait = self.pick(job, now, wkr if effect == "deduplicated" else None)
         if best is None or wait > 0:
@@ -865,9 +822,9 @@
         there = now + job.mean * self.slowness(best, now)
         if launch.began and not wkr.aside and not silent:
             # As long again as it has run: the best guess for a job that outran its estimate.
-            if now - launch.began < 2 * (job.mean + job.var):
-                return  # a hint is often this wrong, and a copy of a job that is about to end is waste
-            if there > min(2 * now - launch.began, job.target_at):
+            # But a hint is often this wrong, and a copy of a job that is about to end is waste.
+            latest = min(2 * now - launch.began, job.target_at)
+            if now - launch.began < 2 * (job.mean + job.var) or there > latest:
                 return
         if effect == "deduplicated" and there > launch.sent + job.qt["window"]:
             return
--- a/mastledge/protocol/discovery.py
+++ b/mastledge/protocol/discovery.py
@@ -24,7 +24,7 @@
         self.zones = {name: n for n, name in enumerate(words["zones"])}
         self.kinds = {name: n for n, name in enumerate(words["kinds"])}
         self.since = words["unix_now"] - Loop.now()
-        self.generation, self.task, self.once, self.trouble = None, None, None, None
+        self.generation, self.task, self.trouble = None, None, None
         self.answered = False
 
     def configure(self, words):
@@ -69,19 +69,14 @@
         if self.task is None or self.task.ended:
             self.task = self.loop.spawn(self.kept_up())
 
-    def fetch(self):
-        self.once = self.loop.spawn(self.tried(self.whole()))
-
     def move(self, address):
         """Asks elsewhere from now on. What is held stays in force until that place has told its list."""
         if address == self.address:
             return
         # A generation is its registry's own: changes counted from another's could leave some out unseen.
         self.address, self.generation, self.trouble = address, None, None
-        for task in (self.task, self.once):
-            if task is not None:
-                self.loop.cancel(task)
         if self.task is not None:
+            self.loop.cancel(self.task)
             self.follow()
 
     def kept_up(self):
--- a/mastledge/protocol/workers.py
+++ b/mastledge/protocol/workers.py
@@ -241,27 +241,3 @@
         named = {REPORTED.get(name, name): float(value) for name, value in load.items()
                  if isinstance(value, int | float)}
         return tuple(named.get(name, NOT_TOLD) for name in self.fields) if named else ()
-
-    def probe(self, peer):
-        """One look at a worker beside its jobs."""
-        conn, how, report, began = None, "unreachable", (), self.loop.now()
-        until = began + 2 * self.connect_timeout
-        try:
-            conn = yield from connect(self.loop, self.budget, "workers", peer.address, until)
-            http.attach(conn, h11.CLIENT)
-            how = "timeout"
-            headers = [(b"host", peer.address[0].encode()), (b"connection", b"close")]
-            yield from conn.send(http.request(conn, b"GET", b"/stats", headers), until)
-            head = yield from http.head(conn, until)
-            content = yield from http.body(conn, until)
-            how = "completed" if head.status_code == 200 else "error"
-            report = self.ordered(http.loads(content)) if content else ()
-        except (OSError, TimedOut, NoSocket):
-            pass
-        except (ValueError, http.TooLarge, h11.RemoteProtocolError) as error:
-            how = "error"
-            self.log("malformed", worker=peer.id, why=str(error))
-        finally:
-            if conn is not None:
-                conn.close()
-        self.inbox.put("probed", peer, how, self.loop.now() - began, report)
--- a/mastledge/routing/router.py
+++ b/mastledge/routing/router.py
@@ -115,9 +115,6 @@
                      ms=(now - launch.at) / 1000)
         self.forget(job)
 
-    def on_probed(self, now, peer, how, lag, report):
-        self.balancer.probed(now, peer, how, lag, report)
-
     def on_configured(self, now, settings):
         self.balancer.configured(now, settings)
 
@@ -178,15 +175,6 @@
     def do_follow(self, now, on):
         self.discovery.follow()
 
-    def do_fetch(self, now):
-        self.discovery.fetch()
-
-    def do_probe(self, now, peer):
-        self.loop.spawn(self.workers.probe(peer))
-
-    def do_log(self, now, text):
-        self.log("decisions", text=text)
-
     # Jobs
 
     def closed(self, now, job, how):
