Small hints count halfway to a mean job against a cold worker's budget

So the budget let through just those whose rough hint was far too low (arrived(), cold_room(), launch()).

--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -75,7 +75,7 @@
 
 class Job:
     __slots__ = ("id", "qt", "key", "hint", "load", "tenant", "arrived", "target_at", "last", "launches",
-                 "out", "ended", "mean", "var", "again")
+                 "out", "ended", "mean", "var", "work", "again")
 
 
 class Launch:
@@ -90,7 +90,7 @@
         self.run = Estimate(float(min(qt["target"] for qt in self.queue_types)), 0.0)
         self.waits, self.pressed_at, self.pressure = deque([(0, now)], WAITS), now, 0.0
         self.built, self.work, self.done, self.seconds = 0.0, 0.0, 0.0, 1.0
-        self.slack, self.value = self.run.mean, 0.5
+        self.slack, self.value, self.size = self.run.mean, 0.5, self.run.mean
         self.lag = Estimate(4.0 * settings["step"], 4.0 * settings["step"])
         self.keys, self.workers, self.ready, self.part, self.jobs = {}, {}, [], [], {}
         self.todo, self.stops, self.due, self.dues = deque(), deque(), [], 0
@@ -172,6 +172,8 @@
         job.last = min(now + max(0, patience - 2 * self.settings["step"]), self.over_at or now + patience)
         qt["most_patience"] = max(qt["most_patience"], patience)
         self.expect(job)
+        # A small rough hint is mostly error, so it counts halfway to a mean job where a worker is cold.
+        job.work = max(hint or job.mean, ((hint or job.mean) + self.size) / 2) * job.load
         if key:
             self.wanted[key] += hint or job.mean
             self.fresh_wants[key] += hint or job.mean
@@ -342,6 +344,7 @@
             if not self.settings["tells_start"]:
                 self.lag.learn(max(0, run - launch.mean * slow))
             self.work += (job.hint or job.mean) * job.load
+            self.size += GAIN / 8 * ((job.hint or job.mean) - self.size)
             qt["run"].learn(run)
             if launch.clear and launch.fetch:
                 self.fetch.learn(min(max(0.0, run / slow - job.mean), 4 * self.fetch.mean))
@@ -551,11 +554,8 @@
         return not wkr.born or now - wkr.born >= self.settings["cold_for"] or self.cold_room(wkr, job, now)
 
     def cold_room(self, wkr, job, now):
-        """Cold workers fall over under the sum of all: one's own part is set against one's completed work.
-
-        Below a job it is a matter of chance, as docs/design.md shows, and nothing is saved for longer.
-        """
-        settings, work = self.settings, (job.hint or job.mean) * job.load
+        """Cold workers fall over under the sum of all: one's own part is set against one's completed work."""
+        settings, work = self.settings, job.work
         half, room = settings["fall_for"] // 2, settings["fall_multiple"] * self.warmth(wkr, now)
         # Under overload all look past their parts, and then at most half as much again comes from there.
         sharers = len(self.part) if self.beyond and wkr in self.part else 2 * len(self.ready)
@@ -676,10 +676,7 @@
         return wait > limit * (0.5 + 0.5 * self.chance())
 
     def press(self, now):
-        """The mean of the last waits, each at most the slack: in a release some starts are late by far.
-
-        Summed up over time: a short trouble common to all passes, and turning jobs away for it loses more.
-        """
+        """By the mean of the last waits, summed up over time: a short trouble common to all passes."""
         # A dispatcher of little traffic holds old waits, and the fewer it lets through the older they get.
         waits = [min(wait / (1 + (now - at) / (4 * self.run.mean)), self.slack) for wait, at in self.waits]
         since, self.pressed_at = now - self.pressed_at, now
@@ -773,7 +770,7 @@
         job.launches.append(launch)
         job.out += 1
         if wkr.born and now - wkr.born < self.settings["cold_for"]:
-            wkr.credit -= (job.hint or job.mean) * job.load
+            wkr.credit -= job.work
             wkr.draw, wkr.drawn_at = self.chance(), now
         if self.settings["tells_start"]:
             # Not started in the time that a free worker takes: load that is not seen is in its way.
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -88,6 +88,20 @@
     assert 0 < worst <= 2.5 * (0.2 + 0.8 * 0.4) * 2_000_000
 
 
+@pytest.mark.parametrize(("hint", "counts"), [(10_000, 255_000), (500_000, 500_000), (900_000, 900_000)])
+def test_small_hints_count_halfway_to_a_mean_job_against_a_cold_budget(hint, counts):
+    # Jobs of small hints alone fitted the budget, and hints that small were too low by far.
+    made = balancer(workers=1)
+    made.size = 500_000
+    arrive(made, hint=hint)
+    assert made.jobs[1].work == counts
+    made.members(0, "changes", [entry(0, born=1)])
+    wkr = made.ready[0]
+    wkr.credit = 0.0
+    made.launch(made.jobs[1], wkr, 1_000)
+    assert wkr.credit == -counts
+
+
 def test_late_news_is_passed_over():
     made = balancer()
     made.ended(0, 9, 0, "completed", 0, True, [])
