Keys that never come again are bounded; fewer looks at what a deployment never tells

Seen in the code: where each client is a key of its own, wanted, fresh wants and orders grew with every key (arrived(), order(), tidy()). They hold 4,096 at most now.

--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -68,8 +68,6 @@
 
 
 class Aside:
-    """Why a worker gets a trickle only, and how far it has come back."""
-
     __slots__ = ("back_at", "pause", "trickle", "good")
 
 
@@ -176,7 +174,8 @@
         job.work = max(hint or job.mean, ((hint or job.mean) + self.size) / 2) * job.load
         if key:
             self.wanted[key] += hint or job.mean
-            self.fresh_wants[key] += hint or job.mean
+            if len(self.fresh_wants) < KEYS_KEPT:
+                self.fresh_wants[key] += hint or job.mean
         if self.tell_at is None and self.interval:
             self.tell_at = now + self.interval
         aim = min(qt["target"] + int(qt["stretch"] * (hint or job.mean)), qt["walltime"])
@@ -408,7 +407,7 @@
                     self.count_asides()
 
     def count_asides(self):
-        self.asides = Counter(why for wkr in self.ready for why in wkr.aside)
+        self.asides = Counter(chain.from_iterable([wkr.aside for wkr in self.ready if wkr.aside]))
 
     def learn_slow(self, wkr, ratio, now):
         # What a cold worker is assumed to lack must not be learned as its slowness as well.
@@ -428,7 +427,7 @@
 
     def extra(self, wkr, now):
         """Load of others, as last seen, fading; never less than what keeps own jobs waiting."""
-        if 2 * len(self.others) >= self.settings["dispatchers"]:
+        if self.others and 2 * len(self.others) >= self.settings["dispatchers"]:
             return max(0.0, wkr.shared)
         extra = wkr.usual + (wkr.extra - wkr.usual) / (1 + (now - wkr.extra_at) / self.run.mean)
         if wkr.running < wkr.load:
@@ -452,8 +451,10 @@
         due = self.due
         while due and due[0][2].ended:
             heappop(due)
-        when = (due[0][0] if due else None, self.ask_at, self.tell_at)
-        return min((at for at in when if at is not None), default=None)
+        soon = due[0][0] if due else None
+        if self.ask_at is None and self.tell_at is None:
+            return soon
+        return min(at for at in (soon, self.ask_at, self.tell_at) if at is not None)
 
     def decide(self, now):
         if self.tidy_at <= now:
@@ -491,7 +492,6 @@
         return ("message", now, [(wkr.name, wkr.load) for wkr in busiest if wkr.load], wants)
 
     def settle(self, job, now):
-        """The next step of one job, or None while it has to wait."""
         if now >= job.last:
             return self.give_up(job, 0)
         again, job.again = job.again, False
@@ -532,10 +532,10 @@
         return ("reject", job.id, min(int(hold_off), most))
 
     def eligible(self, wkr, job, now, group):
-        if job.qt["kind"] not in (-1, wkr.kind):
+        kind = job.qt["kind"]
+        if kind >= 0 and wkr.kind != kind:
             return False
-        scope = job.qt["group"]
-        if group is not None and scope != "all" and getattr(wkr, scope) != getattr(group, scope):
+        if group and (scope := job.qt["group"]) != "all" and getattr(wkr, scope) != getattr(group, scope):
             return False
         once, own = job.qt["effect"] == "run-once", (None, CUT_OFF, job.qt["name"])
         # Where one queue type fails the others may, and jobs that may run again find that out at less cost.
@@ -548,9 +548,9 @@
                 wait = 2 * LONGEST_PAUSE if once and why in (None, CUT_OFF) else 0
                 if now < aside.back_at + wait or (why in own and len(wkr.out) >= aside.trickle):
                     return False
-        elsewhere = len(job.launches) < len(self.ready)
-        if any(launch.wkr is wkr and (elsewhere or not launch.ended) for launch in job.launches):
-            return False
+        for launch in job.launches:
+            if launch.wkr is wkr and (not launch.ended or len(job.launches) < len(self.ready)):
+                return False
         return not wkr.born or now - wkr.born >= self.settings["cold_for"] or self.cold_room(wkr, job, now)
 
     def cold_room(self, wkr, job, now):
@@ -568,7 +568,7 @@
     def pick(self, job, now, group):
         """Least contention, then least integrated load (Worst-Fit), then chance (paper, section 4.4)."""
         best, least, found = None, (0.0, 0.0), []
-        mean, var, load = job.mean, job.var, job.load
+        mean, var, load, told = job.mean, job.var, job.load, self.frees or self.others
         special = job.launches or job.qt["kind"] >= 0
         part = () if special else self.part
         size, look = max(4, len(self.part)), self.look
@@ -582,15 +582,14 @@
                 continue
             slow = self.slowness(wkr, now) if wkr.born else wkr.slow
             # CPU is scarce and this runs for each worker and job: no call where its answer is plain.
-            others = wkr.shared or wkr.extra or wkr.usual or wkr.running < wkr.load
+            others = wkr.running < wkr.load or wkr.extra or told and (wkr.usual or wkr.shared)
             extra = self.extra(wkr, now) if others else 0.0
             fetch = self.to_fetch(job.key, wkr, homes) if homes else 0.0
             span = int((mean + var) * slow + fetch)
             busy = wkr.curve or extra
             rank = self.contention(wkr, now, span, load, var, extra) if busy else (0.0, load * span)
-            if wkr.told or fetch:
-                # Kinds differ in slots: what is left of them is the room of Worst-Fit. And a slot that is
-                # held while a key is fetched does nobody's work, as one above the slots does.
+            if told and wkr.told or fetch:
+                # Room is what is left of the slots, as kinds differ; one held for a fetch does nobody's work.
                 room = wkr.slots * int(mean + var) if wkr.told else 0.0
                 rank = rank[0] + DEAR * load * fetch, rank[1] - room
             found.append((rank, wkr))
@@ -695,13 +694,14 @@
         """Once a second: traffic fades; speeds stay relative, so what all share moves the estimates."""
         self.tidy_at = now + 1_000_000
         self.rates = [rate * 11 / 12 for rate in self.rates]
-        self.work *= 11 / 12
-        self.seconds += 1 - self.seconds / 12
+        self.work, self.seconds = self.work * (11 / 12), self.seconds + (1 - self.seconds / 12)
         self.survey()
         for sender in [sender for sender, told in self.others.items() if now - told[1] > 2 * RAREST]:
             self.forget_loads(sender)
-        self.wanted = Counter({key: work * 59 / 60 for key, work in self.wanted.items() if work > 1})
-        self.settle_keys()
+        if self.wanted:
+            self.wanted = Counter({key: work * 59 / 60 for key, work in self.wanted.most_common(KEYS_KEPT)})
+            self.orders = {key: self.orders[key] for key in self.wanted if key in self.orders}
+            self.settle_keys()
         # Learned slowness fades: a worker avoided for it is never measured again otherwise.
         fade = min(1.0, 1_000_000 / (16 * self.run.mean + 1))
         mean = sum(wkr.slow for wkr in self.ready) / max(1, len(self.ready))
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -73,6 +73,7 @@
 def test_of_two_workers_without_contention_the_one_with_more_room_is_picked():
     # By load alone a box of two slots with one job came before one of eight with two.
     made = told_of_load(workers=2)
+    made.frees[0] = {8: 1}
     for wkr, slots, load in zip(made.ready, (2.0, 8.0), (1.0, 2.0), strict=True):
         wkr.slots, wkr.extra, wkr.usual, wkr.told = slots, load, load, [0.0]
     picked = {made.pick(job_of(made, n), 0, None)[0].slots for n in range(20)}
@@ -137,6 +138,17 @@
     assert hot < 40
 
 
+def test_keys_that_never_come_again_are_bounded():
+    # Where each client is a key of its own, they and their orders would have filled the memory.
+    made = balancer(workers=2)
+    for key in range(1, 6_000):
+        made.arrived(0, key, 0, 100_000, key, 1.0, 0.0, 0, 5_000_000)
+        made.homes_of(key)
+    made.tidy(1_000_000)
+    held = (made.wanted, made.fresh_wants, made.orders, made.homes)
+    assert [len(kept) for kept in held] == 4 * [4_096] and made.wanted[1] > 0
+
+
 @pytest.mark.parametrize(("ahead", "home"), [(0, True), (1, True), (30, False)])
 def test_a_key_stays_at_home_until_the_queue_there_is_dearer_than_fetching(ahead, home):
     made = balancer(workers=4)
