A second address for operators: ready, figures, drain and rejoin

Need: six calls answered within 1 s however busy the dispatcher is, figures that are true, and a drain that leads back. protocol/control.py speaks h11, one call to a connection, on an epoll looked at first in each turn; a turn takes up 64 events and 32 new clients at most; 12 descriptors are its own and the longest silent caller gives way. Counts stand where things happen: what a job got at the door, attempts where the last byte was written. The drain is a phase between serving and serving. Ruled out: a thread of its own; closing the listener while draining.

--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -7,7 +7,7 @@
 from bisect import bisect_left, insort
 from collections import Counter, deque
 from heapq import heappop, heappush
-from itertools import chain
+from itertools import accumulate, chain
 from zlib import crc32
 
 GAIN = 0.125  # the paper's alpha and beta
@@ -314,6 +314,7 @@
     def expect(self, job):
         """Running time on the mean worker: by the hint of this very job, else the key's, else the type's."""
         qt = job.qt
+        known, unit = (qt["ratio"], job.hint) if job.hint else (qt["run"], 1)
         if job.key and not job.hint:
             known = self.keys.get(job.key)
             if known is None:
@@ -322,12 +323,7 @@
                 others = list(self.keys.values()) or [qt["run"]]
                 known = self.keys[job.key] = Estimate(sum(k.mean for k in others) / len(others),
                                                       sum(k.var for k in others) / len(others))
-            job.mean, job.var = known.mean, SPREAD * known.var
-        elif job.hint:
-            job.mean, job.var = job.hint * qt["ratio"].mean, SPREAD * job.hint * qt["ratio"].var
-        else:
-            job.mean, job.var = qt["run"].mean, SPREAD * qt["run"].var
-        job.mean = max(job.mean, 1.0)
+        job.mean, job.var = max(unit * known.mean, 1.0), SPREAD * unit * known.var
 
     def judge(self, now, launch, how, lag):
         job, wkr, qt = launch.job, launch.wkr, launch.job.qt
@@ -357,15 +353,13 @@
                     self.keys[job.key].learn(run)
             if wkr.aside:
                 self.goes_well(wkr, launch)
-        elif how == "error":
-            # A release may fail one queue type alone, and quickly, which makes its curve look empty.
+            return
+        if how in ("error", "full"):
             wkr.heard = now
-            self.set_aside(wkr, qt["name"], launch, now)
-        elif how == "full":
-            wkr.heard, wkr.extra, wkr.extra_at = now, 2 * wkr.slots, now
-            self.set_aside(wkr, qt["name"], launch, now)
-        elif how in ("unreachable", "lost"):
-            self.set_aside(wkr, CUT_OFF if how == "unreachable" else None, launch, now)
+        if how == "full":
+            wkr.extra, wkr.extra_at = 2 * wkr.slots, now
+        # A release may fail one queue type alone, and quickly, which makes its curve look empty.
+        self.set_aside(wkr, {"unreachable": CUT_OFF, "lost": None}.get(how, qt["name"]), launch, now)
 
     def reported(self, now, launch, report):
         """What a worker told of its load with an answer, less what was one's own when that was made."""
@@ -445,16 +439,19 @@
         elif self.settings["may_revoke"]:
             self.stops.extend(launch for launch in job.launches if not launch.ended)
 
+    def skipped(self, now):
+        """How many workers of the list get nothing now."""
+        return sum(wkr.state != "gone" and (wkr.state != "ready" or any(
+            now < aside.back_at for aside in wkr.aside.values())) for wkr in self.workers.values())
+
     # Decisions
 
     def wake_at(self):
         due = self.due
         while due and due[0][2].ended:
             heappop(due)
-        soon = due[0][0] if due else None
-        if self.ask_at is None and self.tell_at is None:
-            return soon
-        return min(at for at in (soon, self.ask_at, self.tell_at) if at is not None)
+        dues = (due[0][0] if due else None, self.ask_at, self.tell_at)
+        return min((at for at in dues if at is not None), default=None)
 
     def decide(self, now):
         if self.tidy_at <= now:
@@ -639,12 +636,8 @@
 
     def one_of(self, near):
         """By chance, by declared size: most ranks tie where each dispatcher has few jobs out."""
-        left = self.chance() * sum(wkr.units for wkr in near)
-        for wkr in near:
-            left -= wkr.units
-            if left <= 0:
-                return wkr
-        return near[-1]
+        sums = list(accumulate(wkr.units for wkr in near))
+        return near[min(bisect_left(sums, self.chance() * sums[-1]), len(near) - 1)]
 
     @staticmethod
     def contention(wkr, now, span, load, var, extra):
--- a/mastledge/program/configuration.py
+++ b/mastledge/program/configuration.py
@@ -41,6 +41,11 @@
         out = {"name": part(told, "name", str, env.get("GW_NAME", "dispatcher"))}
         for name, variable in (("listen", "GW_LISTEN"), ("discovery", "GW_DISCOVERY")):
             out[name] = address_of(part(told, name, str, env.get(variable)))
+        # For operators alone; absent there is no such address.
+        control = part(told, "control", str, env.get("GW_CONTROL") or "")
+        out["control"] = address_of(control) if control else None
+        if out["control"] == out["listen"]:
+            raise BadConfiguration(f"control is the same address as listen: {control}")
         out["seed"] = seed_of(part(told, "seed", str))
         limits = part(told, "limits", dict, {})
         out["sockets"] = int(part(limits, "sockets", int, 1024))
--- a/mastledge/program/phases.py
+++ b/mastledge/program/phases.py
@@ -8,7 +8,9 @@
 from copy import deepcopy
 
 from mastledge.balance import Balancer
+from mastledge.program.operators import Operators
 from mastledge.protocol.clients import Door
+from mastledge.protocol.control import Control
 from mastledge.protocol.discovery import BadList, Discovery
 from mastledge.protocol.workers import Workers
 from mastledge.routing.router import Router
@@ -16,10 +18,10 @@
 from mastledge.transport.connection import listen
 from mastledge.transport.loop import READ, Loop, Queue
 
-STARTING, WAITING, SERVING, LEAVING, FINISHING, ENDED = (
-    "starting", "waiting for workers", "serving", "leaving", "finishing", "ended")
-NEXT = {STARTING: (WAITING,), WAITING: (SERVING, LEAVING), SERVING: (LEAVING,), LEAVING: (FINISHING,),
-        FINISHING: (ENDED,), ENDED: ()}
+STARTING, WAITING, SERVING, DRAINING, LEAVING, FINISHING, ENDED = (
+    "starting", "waiting for workers", "serving", "draining", "leaving", "finishing", "ended")
+NEXT = {STARTING: (WAITING,), WAITING: (SERVING, DRAINING, LEAVING), SERVING: (DRAINING, LEAVING),
+        DRAINING: (WAITING, LEAVING), LEAVING: (FINISHING,), FINISHING: (ENDED,), ENDED: ()}
 ACCEPTING = 500_000  # after the signal: new connections go on coming for 0.4 s
 LONGEST = 3_000_000  # of the walltime that the end waits for
 LAST = 500_000  # and this much more, inside the 0.7 s after which the program is ended from outside
@@ -57,7 +59,7 @@
         self.told, self.log, self.phase, self.read_again = told, log, STARTING, read_again
         self.loop = loop = Loop(self.fault)
         settings = told["settings"]
-        self.budget = Budget(descriptors(told["sockets"]), told["memory"])
+        self.budget = Budget(descriptors(told["sockets"]), told["memory"], told["control"] is not None)
         self.inbox = inbox = Queue(loop)
         words = words_of(settings)
         self.walltime = max(qt["walltime"] for qt in settings["queue_types"])
@@ -67,7 +69,8 @@
         balancer = Balancer(handed(settings), told["seed"], loop.now())
         self.router = Router(loop, inbox, balancer, self.workers, self.discovery, log)
         self.following = settings["follow"] == "pushed"
-        self.signalled = False
+        self.signalled, self.controlling = False, None
+        self.control = Control(loop, self.budget, Operators(self).calls(), log)
 
     def fault(self, error):
         self.log("fault", why=f"{type(error).__name__}: {error}")
@@ -87,13 +90,19 @@
             signal.signal(number, self.signal)
         # Left to the system it would end the program; what it asks for is done outside of the handler.
         signal.signal(signal.SIGHUP, lambda number, frame: None)
-        self.sock = self.listening()
         self.loop.spawn(self.signals(pipe[0]))
-        self.inbox.reader = self.loop.spawn(self.vital(self.router.run()))
-        self.life = self.loop.spawn(self.vital(self.phases()))
+        self.begin()
         self.loop.run()
         return 0 if self.phase == ENDED else 1
 
+    def begin(self):
+        self.sock = self.listening(self.told["listen"])
+        if self.told["control"] is not None:
+            self.controlling = self.listening(self.told["control"], 64)
+            self.loop.spawn(self.control.listen(self.controlling), first=True)
+        self.inbox.reader = self.loop.spawn(self.vital(self.router.run()))
+        self.life = self.loop.spawn(self.vital(self.phases()))
+
     def vital(self, steps):
         """Without these the program only seems to serve; it is better started anew."""
         try:
@@ -102,17 +111,16 @@
             self.fault(error)
             self.loop.running = False
 
-    def listening(self):
+    def listening(self, address, backlog=1024):
         """The address may still be held by the process before, which is ending."""
-        for _ in range(TRIES):
+        for left in reversed(range(TRIES)):
             try:
-                return listen(self.told["listen"])
+                return listen(address, backlog)
             except OSError as error:
-                if error.errno != errno.EADDRINUSE:
-                    raise
-                self.log("address_in_use", address=self.told["listen"])
+                if error.errno != errno.EADDRINUSE or not left:
+                    raise OSError(error.errno, f"{address[0]}:{address[1]}: {error.strerror}") from None
+                self.log("address_in_use", address=address)
                 time.sleep(LOOK / 1e6)
-        return listen(self.told["listen"])
 
     def signal(self, number, frame):
         self.signalled = True
@@ -138,7 +146,7 @@
         switched = told["settings"] != self.told["settings"]
         if switched:
             self.switch(told["settings"])
-        restart = [part for part in ("name", "listen") if told[part] != self.told[part]]
+        restart = [part for part in ("name", "listen", "control") if told[part] != self.told[part]]
         self.log("configuration", discovery=told["discovery"], sockets=told["sockets"], settings=switched,
                  needs_restart=restart)
 
@@ -167,6 +175,19 @@
         heard = impatient or self.discovery.task is None or self.discovery.answered
         return heard and any(peer.state == "ready" for peer in self.router.peers.values())
 
+    def evacuate(self):
+        """Ready says no from this very call on; the phase follows."""
+        if not self.door.draining:
+            self.door.draining = self.loop.now()
+            self.loop.wake(self.life)
+
+    def rejoin(self):
+        if self.signalled:
+            return False
+        self.door.draining = False
+        self.loop.wake(self.life)
+        return True
+
     def phases(self):
         loop, door, router = self.loop, self.door, self.router
         try:
@@ -179,12 +200,21 @@
         listening = loop.spawn(door.listen(self.sock))
         self.go(WAITING)
         patient = loop.now() + FIRST_NEWS
-        while not self.signalled and not self.can_serve(loop.now() >= patient):
-            yield (-1, 0, loop.now() + LOOK // 10)
-        if not self.signalled:
-            door.ready = True
-            self.go(SERVING)
         while not self.signalled:
+            if door.draining:
+                if self.phase != DRAINING:
+                    self.go(DRAINING)
+                door.let_go()
+                yield (-1, 0, loop.now() + LOOK)
+                continue
+            if self.phase == DRAINING:
+                self.go(WAITING)
+            if self.phase == WAITING:
+                door.ready = door.ready or self.can_serve(loop.now() >= patient)
+                if not door.ready:
+                    yield (-1, 0, loop.now() + LOOK // 10)
+                    continue
+                self.go(SERVING)
             yield (-1, 0, None)
         told_at = loop.now()
         last = told_at + min(self.walltime, LONGEST) + LAST
--- a/mastledge/protocol/clients.py
+++ b/mastledge/protocol/clients.py
@@ -5,7 +5,7 @@
 import h11
 
 from mastledge.protocol import http
-from mastledge.protocol.requests import KILLED, REJECTED, BadRequest, Requests
+from mastledge.protocol.requests import COMPLETED, KILLED, REJECTED, BadRequest, Requests
 from mastledge.transport.budget import CLIENTS
 from mastledge.transport.connection import Connection, TimedOut, accept
 from mastledge.transport.loop import ENDED, GONE, READ
@@ -18,6 +18,8 @@
 FREE = 3  # connections of clients, while leaving: a burst comes before a rejection has freed one
 FEWER = 250_000  # after SIGTERM; from then on new connections go to others
 PAUSE = 20_000  # where descriptors are short
+ACCEPTS = 32  # in a turn: a crowd that comes at once must not hold up who is there
+CLOSES, REFUSES, HANGS_UP = 500_000, 1_700_000, 3_000_000  # after the call to drain; see docs/operations.md
 LINGER = 1_000_000  # what is still under way is read, or closing would reset the answer to it
 
 
@@ -27,26 +29,45 @@
     def __init__(self, loop, budget, inbox, words, log):
         self.loop, self.budget, self.inbox, self.log = loop, budget, inbox, log
         self.clients, self.ready, self.in_hand = set(), False, 0
-        self.leaving = self.closing = False
+        self.leaving = self.closing = self.draining = False
+        self.ended = {what: {} for what in ("passed", "dropped", "bad_gateway")}
         self.names, self.known = set(), deque()
         self.configure(words)
 
     def configure(self, words):
         """For what comes from now on; who waits for an answer goes on doing so."""
         self.requests, self.most_held = Requests(words), words["most_held"]
+        for kinds in self.ended.values():
+            kinds.update({qt["name"]: kinds.get(qt["name"], 0) for qt in words["queue_types"]})
         self.few = words["dispatchers"] <= 2
         hold_off = min(words["hold_off"], PATIENCE)
         self.no_room = REJECTED, [(b"retry-after", b"%.3f" % (hold_off / 1e6))] if hold_off else [], b""
 
+    def up(self):
+        return self.ready and not self.leaving and not self.draining
+
+    def count(self, kind, status):
+        """Each job under one count, also what was answered here alone. 4xx: it was none."""
+        if kind in self.ended["passed"] and (status == REJECTED or not 400 <= status < 500):
+            what = {COMPLETED: "passed", REJECTED: "dropped"}.get(status, "bad_gateway")
+            self.ended[what][kind] += 1
+
+    def let_go(self):
+        """While draining: most have left with an answer; the others are closed where that crosses nothing."""
+        gone = self.loop.now() - self.draining
+        for place, since in (("unused", CLOSES), ("clients", CLOSES), ("unfinished", HANGS_UP)):
+            if gone >= since:
+                self.budget.close_all(place)
+
     def listen(self, sock):
         while True:
             yield (sock.fileno(), READ, None)
-            if self.last_call(sock):
+            if self.last_call(sock, ACCEPTS):
                 self.log("out_of_descriptors", clients=len(self.clients))
                 yield (-1, 0, self.loop.now() + PAUSE)
 
-    def last_call(self, sock):
-        """Takes in all that the machine has accepted; True where descriptors do not suffice for that."""
+    def last_call(self, sock, most=0):
+        """Takes in what the machine has accepted, or the most; True where descriptors do not suffice."""
         while not self.budget.beyond("clients"):
             one, short = accept(sock, self.budget)
             if one is None:
@@ -56,6 +77,9 @@
             except OSError as error:
                 # It may be gone before it is looked at.
                 self.log("client_lost", why=str(error))
+            most -= 1
+            if not most:
+                return False
         return True
 
     def welcome(self, sock):
@@ -81,8 +105,7 @@
 
     def close_all_idle(self):
         for place in ("unused", "clients"):
-            for close in list(self.budget.idle[place].values()):
-                close()
+            self.budget.close_all(place)
 
     def serve(self, conn, beyond):
         # Who connects and says nothing, or never all of it, goes before any client that has had an answer.
@@ -115,7 +138,8 @@
                 if 400 <= status < 500:
                     self.log("bad_request", status=status, why=content[:200].decode("latin-1"))
                 # Nothing that follows what could not be read, or not be used, can be trusted.
-                last = beyond or self.closing or 400 <= status < 500 or conn.http.their_state is not h11.DONE
+                last = (beyond or self.closing or self.draining or 400 <= status < 500
+                        or conn.http.their_state is not h11.DONE)
                 yield from conn.send(http.answer(conn, status, headers, content, last), loop.now() + SLOW)
                 if last or not http.again(conn.http):
                     self.rests("unused", conn)
@@ -156,6 +180,7 @@
             self.rests(None, conn)
             if not self.budget.hold(size):
                 self.log("no_memory", held=self.budget.bytes, clients=len(self.clients))
+                self.count(http.lane(head), REJECTED)
                 return self.no_room
             try:
                 self.rests("unfinished", conn)
@@ -175,7 +200,7 @@
             raise BadRequest(405, "")
         path = head.target.partition(b"?")[0]
         if path == b"/health/ready":
-            up = self.ready and not self.leaving
+            up = self.up()
             return (200 if up else 503), [], b"ready" if up else b"not ready"
         if path == b"/health/live":
             return 200, [], b"live"
@@ -186,6 +211,7 @@
         if beyond or self.in_hand >= self.most_held or self.crowded():
             # Nothing of it was sent anywhere, so trying again is harmless.
             self.log("no_room", job=exchange.name, clients=len(self.clients))
+            self.count(exchange.kind, REJECTED)
             return self.no_room
         self.in_hand += 1
         self.names.add(exchange.name)
@@ -193,7 +219,10 @@
         exchange.answer = lambda *answer: self.loop.wake(conn.owner, answer)
         try:
             self.inbox.put("arrived", exchange, *told)
-            return (yield from self.outcome(conn, exchange))
+            reply = yield from self.outcome(conn, exchange)
+            if reply is not None:
+                self.count(exchange.kind, reply[0])
+            return reply
         finally:
             self.in_hand -= 1
             if exchange.open:
@@ -213,6 +242,8 @@
         So some are kept free, and what would take them comes again in a moment. Where there are more than
         two dispatchers, some other is up and takes at once what does not come here.
         """
+        if self.draining and self.loop.now() >= self.draining + REFUSES:
+            return True
         late = self.few and self.leaving and self.loop.now() >= self.leaving + FEWER
         return late and len(self.budget.idle["clients"]) < FREE
 
--- a/mastledge/protocol/http.py
+++ b/mastledge/protocol/http.py
@@ -52,6 +52,11 @@
     return MOST_BODY if b"transfer-encoding" in names else size
 
 
+def lane(head):
+    """The queue type that a path names, as text."""
+    return head.target.partition(b"?")[0][1:].partition(b"/")[0].decode("latin-1")
+
+
 def next_begins(conn):
     """Whether what has come behind a whole request is nothing, or may begin another."""
     behind, ended = conn.http.trailing_data
--- a/mastledge/protocol/requests.py
+++ b/mastledge/protocol/requests.py
@@ -45,12 +45,12 @@
 class Requests:
     def __init__(self, words):
         self.queue_types = words["queue_types"]
-        self.types = {qt["name"].encode(): n for n, qt in enumerate(self.queue_types)}
+        self.types = {qt["name"]: n for n, qt in enumerate(self.queue_types)}
         self.tenants = {name.encode(): n for n, name in enumerate(words["tenants"])}
 
     def job(self, head, content, now):
         """The exchange of a job, and all that the decisions are told of the job when it arrives."""
-        queue_type = self.types.get(head.target.partition(b"?")[0][1:].partition(b"/")[0])
+        queue_type = self.types.get(http.lane(head))
         if queue_type is None:
             raise BadRequest(404, "no such path")
         if head.method != b"POST":
@@ -62,7 +62,7 @@
                 raise BadRequest(400, "a header stands twice")
         if not ID.fullmatch(fields.get(b"x-txn", b"")):
             raise BadRequest(400, "X-Txn is missing or no id")
-        if b"x-lane" in fields and self.types.get(fields[b"x-lane"]) != queue_type:
+        if b"x-lane" in fields and self.types.get(fields[b"x-lane"].decode("latin-1")) != queue_type:
             raise BadRequest(400, "X-Lane and path differ")
         if qt["effect"] == "deduplicated" and not fields.get(b"idempotency-key"):
             raise BadRequest(400, "Idempotency-Key is missing")
--- a/mastledge/protocol/workers.py
+++ b/mastledge/protocol/workers.py
@@ -32,7 +32,7 @@
 class Workers:
     def __init__(self, loop, budget, inbox, settings, log):
         self.loop, self.budget, self.inbox, self.log = loop, budget, inbox, log
-        self.breaks = 0.0
+        self.breaks, self.tries = 0.0, 0
         self.configure(settings)
 
     def configure(self, settings):
@@ -146,6 +146,7 @@
                 content = content[-1:]
             yield from conn.send(content, until)
             launch.sent = done = True
+            self.tries += 1
             return conn, None
         except NoSocket:
             self.log("out_of_descriptors", worker=peer.id)
--- a/mastledge/transport/budget.py
+++ b/mastledge/transport/budget.py
@@ -4,14 +4,16 @@
 """
 
 SPARE = 16  # standard streams, epoll, wake-up, listener, and a few to answer with when all is full
+OPERATORS = 12  # connections of operators, which clients cannot use up
 # Who goes for a new one, in this order: clients that never said all of it before those that had an answer.
 CLIENTS = ("unused", "unfinished", "clients")
-GIVE_WAY = {"clients": CLIENTS, "workers": ("workers",), "discovery": ()}
+GIVE_WAY = {"clients": CLIENTS, "workers": ("workers",), "discovery": (), "operators": ()}
 SHORT = ("unused", "unfinished", "workers", "clients")  # where the system itself has none left
 
 
 class Budget:
-    def __init__(self, sockets, memory):
+    def __init__(self, sockets, memory, operators=False):
+        self.operators = OPERATORS if operators else 0
         self.resize(sockets, memory)
         self.bytes = 0
         self.used = dict.fromkeys(self.most, 0)
@@ -20,10 +22,11 @@
     def resize(self, sockets, memory):
         # A body is held once as it came and once on its way to a worker, in room that grows by doubling.
         self.most_bytes = memory // 8
-        total = max(8, sockets - SPARE)
+        total = max(8, sockets - SPARE - self.operators)
         # A client in hand needs a worker's connection, and some of those are still ending their last answer.
         clients = total * 12 // 25
-        self.most = {"clients": clients, "workers": total - clients, "discovery": 2}
+        self.most = {"clients": clients, "workers": total - clients, "discovery": 2,
+                     "operators": self.operators}
 
     def beyond(self, kind, spare=SPARE // 4):
         """Whether even the few that are answered although the budget is used up are too many."""
@@ -53,6 +56,11 @@
     def busy(self, kind, what):
         return self.idle[kind].pop(what, None) is not None
 
+    def close_all(self, kind):
+        """All idle connections of this kind that will close now."""
+        for close in list(self.idle[kind].values()):
+            close()
+
     def evict(self, *kinds):
         """Closes the longest idle connection of these kinds; one that will not close now is passed over."""
         for kind in kinds:
--- a/mastledge/transport/loop.py
+++ b/mastledge/transport/loop.py
@@ -11,18 +11,20 @@
 
 READ, WRITE, GONE = select.EPOLLIN, select.EPOLLOUT, select.EPOLLRDHUP
 ENDED = GONE | select.EPOLLHUP | select.EPOLLERR
+MOST = 64  # events taken up in a turn: what goes ahead of the others waits for one turn
 
 
 class Task:
-    __slots__ = ("gen", "fd", "turn", "mail", "ended", "timed")
+    __slots__ = ("gen", "fd", "turn", "mail", "ended", "timed", "epoll")
 
-    def __init__(self, gen):
+    def __init__(self, gen, epoll):
         self.gen, self.fd, self.turn, self.mail, self.ended, self.timed = gen, -1, 0, deque(), False, False
+        self.epoll = epoll
 
 
 class Loop:
     def __init__(self, on_error):
-        self.epoll = select.epoll()
+        self.epoll, self.first = select.epoll(), None
         self.on_error = on_error
         self.waiters, self.masks = {}, {}
         self.ready, self.timers, self.pushes, self.stale = deque(), [], 0, 0
@@ -32,8 +34,12 @@
     def now():
         return time.monotonic_ns() // 1000
 
-    def spawn(self, gen):
-        task = Task(gen)
+    def spawn(self, gen, first=False):
+        """`first`: its descriptors are looked at before all others in each turn."""
+        if first and self.first is None:
+            self.first = select.epoll()
+            self.epoll.register(self.first.fileno(), READ)
+        task = Task(gen, self.first if first else self.epoll)
         self.ready.append((task, task.turn, None))
         return task
 
@@ -93,7 +99,7 @@
             known = self.masks.get(fd)
             if known != mask:
                 try:
-                    (self.epoll.register if known is None else self.epoll.modify)(fd, mask)
+                    (task.epoll.register if known is None else task.epoll.modify)(fd, mask)
                 except OSError as error:
                     # The kernel watches only so many; the others go on.
                     self.cancel(task)
@@ -107,13 +113,13 @@
         if task.mail:
             self.ready.append((task, task.turn, task.mail))
 
-    def come(self, fd, events):
+    def come(self, fd, events, epoll):
         task = self.waiters.get(fd)
         if task is not None:
             self.step(task, events)
         elif fd in self.masks:
             # Nobody waits for it now, and epoll would tell of it again and again.
-            self.epoll.unregister(fd)
+            epoll.unregister(fd)
             del self.masks[fd]
 
     def once(self, longest=None):
@@ -134,8 +140,12 @@
         if timers:
             left = max(0, timers[0][0] - self.now())
             wait = left if wait is None else min(wait, left)
-        for fd, events in self.epoll.poll(None if wait is None else wait / 1e6):
-            self.come(fd, events)
+        came = self.epoll.poll(None if wait is None else wait / 1e6, MOST)
+        if self.first is not None:
+            for fd, events in self.first.poll(0, MOST):
+                self.come(fd, events, self.first)
+        for fd, events in came:
+            self.come(fd, events, self.epoll)
         now = self.now()
         while timers and timers[0][0] <= now:
             _, _, task, turn = heappop(timers)
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,287 @@
+"""The second address: its calls, its figures, its own descriptors, and the drain."""
+
+import errno
+import pathlib
+import socket
+
+import helpers
+import pytest
+from helpers import HERE, Rig, balancer, entry, peer_at
+from test_program import file
+
+from mastledge.balance import Aside
+from mastledge.program import phases
+from mastledge.program.configuration import BadConfiguration, configuration
+from mastledge.program.phases import DRAINING, SERVING, WAITING, Program
+from mastledge.protocol import clients, control
+from mastledge.transport.connection import listen
+
+
+def free():
+    sock = listen((HERE, 0))
+    port = sock.getsockname()[1]
+    sock.close()
+    return f"{HERE}:{port}"
+
+
+class Served:
+    """A whole program that serves, with one stand-in worker, in this thread's own loop."""
+
+    def __init__(self, path, ready=True, **changed):
+        peer, self.sock = peer_at()
+        known = {"generation": 1, "reset": True, "instances": [{
+            "instanceId": "s-1", "hostPort": f"{HERE}:{peer.address[1]}", "zone": "z", "machineType": "k",
+            "cell": 0, "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0}]} if ready else {}
+        told = {"listen": free(), "control": free(), "known": known, "limits": {"sockets": 128}, **changed}
+        self.path = file(path, **told)
+        self.rig = rig = Rig()
+        told = configuration(self.path, {})
+        self.made = made = Program(told, rig.log, lambda: configuration(self.path, {}))
+        rig.loop = made.loop
+        made.loop.on_error = rig.errors.append
+        made.begin()
+        self.theirs = []
+
+    def turn(self, until, longest=2_000_000):
+        return self.rig.turn(until, longest)
+
+    def serving(self):
+        assert self.turn(lambda: self.made.phase == SERVING)
+        return self
+
+    def connect(self, where="listen"):
+        self.theirs.append(socket.create_connection(self.made.told[where], 2))
+        return self.theirs[-1]
+
+    def call(self, path, method="GET"):
+        """The status of one call at the second address, and its text."""
+        theirs = self.connect("control")
+        theirs.sendall(f"{method} {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+        head, _, text = self.rig.reply(theirs).decode().partition("\r\n\r\n")
+        assert "connection: close" in head.lower()
+        return int(head.split()[1]), text
+
+    def figures(self):
+        status, text = self.call("/api/telemetry")
+        assert status == 200
+        return {name: int(value) for name, value in (line.split("=") for line in text.splitlines())}
+
+    def health(self):
+        theirs = self.connect()
+        theirs.sendall(b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+        return int(self.rig.reply(theirs).split()[1])
+
+    def close(self):
+        for one in (*self.theirs, self.sock, self.made.sock, self.made.controlling):
+            one.close()
+
+
+@pytest.fixture
+def served(tmp_path, monkeypatch):
+    monkeypatch.setattr(phases, "FIRST_NEWS", 0)
+    made = Served(tmp_path).serving()
+    yield made
+    made.close()
+    assert not made.rig.errors and not made.made.router.faults
+
+
+@pytest.mark.parametrize(("method", "path", "status"), [
+    ("GET", "/api/ready", 200), ("POST", "/api/ready", 405), ("GET", "/api/evacuate", 405),
+    ("GET", "/api/nothing", 404), ("GET", "/render", 404), ("POST", "/api/rejoin", 200),
+    ("GET", "/api/telemetry?x=1", 200), ("HEAD", "/api/ready", 405)])
+def test_each_call_has_its_answer(method, path, status, served):
+    assert served.call(path, method)[0] == status
+
+
+def test_ready_at_both_addresses_waits_for_a_worker(tmp_path, monkeypatch):
+    monkeypatch.setattr(phases, "FIRST_NEWS", 0)
+    made = Served(tmp_path, ready=False)
+    assert made.turn(lambda: made.made.phase == WAITING)
+    assert (made.call("/api/ready")[0], made.health()) == (503, 503)
+    made.close()
+
+
+@pytest.mark.parametrize(("sent", "status"), [
+    (b"nonsense\r\n\r\n", b"400"), (b"GET /api/ready HTTP/1.1\r\n\r\n", b"400"),
+    (b"GET /api/ready HT", b"408"),
+    (b"POST /api/rejoin HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n", b"413"),
+    (b"GET /" + b"x" * 40_000, b"414")])
+def test_a_bad_call_gets_a_no_and_others_do_not_wait_for_it(sent, status, served, monkeypatch):
+    monkeypatch.setattr(control, "WHOLE", 300_000)
+    bad = served.connect("control")
+    bad.sendall(sent)
+    assert served.call("/api/ready")[0] == 200
+    reply = served.rig.reply(bad)
+    assert status in reply.split(b"\r\n")[0] or status == b"414" and reply.split()[1] in (b"400", b"431")
+
+
+def test_callers_that_finish_no_call_give_way_to_the_next(served):
+    silent = [served.connect("control") for _ in range(40)]
+    for one in silent[::2]:
+        one.sendall(b"GET /api/re")
+    for _ in range(5):
+        assert served.call("/api/ready")[0] == 200
+    budget = served.made.budget
+    assert budget.used["operators"] <= budget.most["operators"]
+
+
+def test_clients_cannot_use_up_the_descriptors_of_operators(served):
+    crowd = [served.connect() for _ in range(150)]
+    assert served.turn(lambda: served.made.budget.used["clients"] >= served.made.budget.most["clients"])
+    assert served.call("/api/ready")[0] == 200 and len(crowd) == 150
+
+
+def test_operators_are_taken_up_before_clients_in_each_turn(served):
+    loop, order = served.made.loop, []
+    step = loop.step
+    clients_ = [served.connect() for _ in range(30)]
+    served.turn(lambda: len(served.made.door.clients) == 30)
+    caller = served.connect("control")
+    served.turn(lambda: served.made.control.callers)
+    for one in clients_:
+        one.sendall(b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+    caller.sendall(b"GET /api/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+    loop.step = lambda task, value: (order.append(task.epoll is loop.first), step(task, value))
+    loop.once(0)
+    assert order.index(True) == 0 and False in order
+
+
+def test_every_end_of_a_job_stands_under_one_count(served):
+    before = served.figures()
+    assert before == {"svc.passed.render": 0, "svc.dropped.render": 0, "svc.bad_gateway.render": 0,
+                      "svc.upstream_tries": 0, "svc.in_progress": 0, "svc.known_workers": 1,
+                      "svc.skipped_workers": 0}
+    client = served.connect()
+    client.sendall(helpers.job(X_Txn="a1", X_Remaining_Ms=4000))
+    theirs, _ = served.rig.called(served.sock)
+    assert served.figures()["svc.in_progress"] == 1
+    raw = b'{"id":"a1","state":"done","result":"r"}\n'
+    theirs.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(raw), raw))
+    assert served.rig.reply(client).startswith(b"HTTP/1.1 200")
+    # Answered by the door alone: no room, a shut door; and what is no job at all.
+    served.made.door.most_held = 0
+    client.sendall(helpers.job(X_Txn="a2"))
+    assert served.rig.reply(client).startswith(b"HTTP/1.1 503")
+    client.sendall(helpers.job(X_Txn="a3", X_Remaining_Ms="x"))
+    assert served.rig.reply(client).startswith(b"HTTP/1.1 400")
+    served.made.door.most_held = 100
+    late = served.connect()
+    served.made.router.balancer.arrived = lambda *told: None
+    late.sendall(helpers.job(X_Txn="a4", X_Remaining_Ms=100))
+    assert served.rig.reply(late).startswith(b"HTTP/1.1 500")
+    figures = served.figures()
+    assert [figures[f"svc.{what}.render"] for what in ("passed", "dropped", "bad_gateway")] == [1, 1, 1]
+    assert figures["svc.upstream_tries"] == 1 and figures["svc.in_progress"] == 0
+
+
+@pytest.mark.parametrize(("state", "back_at", "skipped"), [
+    ("ready", None, 0), ("ready", 99, 1), ("ready", -1, 0), ("draining", None, 1), ("gone", None, 0)])
+def test_skipped_is_what_is_listed_and_gets_nothing_now(state, back_at, skipped):
+    made = balancer(workers=3)
+    made.members(0, "changes", [entry(0, state)])
+    if back_at is not None:
+        aside = made.workers[0].aside["render"] = Aside()
+        aside.back_at = back_at
+    assert made.skipped(0) == skipped
+
+
+@pytest.mark.parametrize("how", ["call", "twice"])
+def test_a_drain_says_no_at_once_and_leads_back(how, served):
+    for _ in range(1 + (how == "twice")):
+        assert served.call("/api/evacuate", "POST")[0] == 200
+    assert (served.call("/api/ready")[0], served.health()) == (503, 503)
+    assert served.turn(lambda: served.made.phase == DRAINING)
+    assert served.call("/api/rejoin", "POST")[0] == 200
+    assert (served.call("/api/ready")[0], served.health()) == (200, 200)
+    assert served.turn(lambda: served.made.phase == SERVING)
+
+
+def test_a_drain_lets_clients_go_between_jobs_and_loses_none(served, monkeypatch):
+    for name, after in (("CLOSES", 100_000), ("REFUSES", 400_000), ("HANGS_UP", 600_000)):
+        monkeypatch.setattr(clients, name, after)
+    idle, busy, half = (served.connect() for _ in range(3))
+    for one in (idle, half):
+        one.sendall(b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert b"200" in served.rig.reply(one)
+    busy.sendall(helpers.job(X_Txn="b1", X_Remaining_Ms=4000))
+    theirs, _ = served.rig.called(served.sock)
+    half.sendall(helpers.job(X_Txn="b2")[:-1])
+    served.call("/api/evacuate", "POST")
+    assert served.turn(lambda: len(served.made.door.clients) == 2)
+    assert idle.recv(1) == b""
+    # Its last byte comes too late for the drain: rejected, so a retry elsewhere is harmless.
+    assert served.turn(lambda: served.made.loop.now() > served.made.door.draining + clients.REFUSES)
+    half.sendall(b"x")
+    reply = served.rig.reply(half)
+    assert reply.startswith(b"HTTP/1.1 503") and b"connection: close" in reply.lower()
+    raw = b'{"id":"b1","state":"done","result":"r"}\n'
+    theirs.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(raw), raw))
+    reply = served.rig.reply(busy)
+    assert reply.startswith(b"HTTP/1.1 200") and b"connection: close" in reply.lower()
+    silent = served.connect()
+    silent.sendall(helpers.job(X_Txn="b3")[:-1])
+    for one in (busy, half):
+        one.close()
+    served.turn(lambda: False, 100_000)
+    assert served.turn(lambda: not served.made.door.clients) and silent.recv(1) == b""
+
+
+def test_the_end_comes_through_a_drain_as_without_one(served):
+    served.call("/api/evacuate", "POST")
+    served.made.signalled = True
+    served.made.loop.wake(served.made.life)
+    assert served.call("/api/rejoin", "POST")[0] == 409
+    assert served.turn(lambda: served.made.phase == "ended", 5_000_000)
+
+
+@pytest.mark.parametrize(("where", "env", "says"), [
+    ("here", {}, "ADDRESS:PORT"), (GOOD_LISTEN := "127.0.0.1:7070", {}, "same address as listen"),
+    (None, {"GW_CONTROL": GOOD_LISTEN}, "same address as listen"), (7, {}, "control cannot be read")])
+def test_a_bad_second_address_stops_the_start(where, env, says, tmp_path):
+    with pytest.raises(BadConfiguration, match=says):
+        configuration(file(tmp_path, control=where), env)
+
+
+@pytest.mark.parametrize(("where", "env", "control_"), [
+    (None, {}, None), (None, {"GW_CONTROL": ""}, None),
+    (None, {"GW_CONTROL": "127.0.0.1:9"}, ("127.0.0.1", 9)),
+    ("127.0.0.1:8", {"GW_CONTROL": "127.0.0.1:9"}, ("127.0.0.1", 8))])
+def test_the_second_address_is_optional(where, env, control_, tmp_path):
+    assert configuration(file(tmp_path, control=where), env)["control"] == control_
+
+
+def test_without_a_second_address_nothing_of_it_runs(tmp_path, monkeypatch):
+    monkeypatch.setattr(phases, "FIRST_NEWS", 0)
+    made = Served(tmp_path, control=None).serving().made
+    assert made.controlling is None and made.loop.first is None and made.budget.most["operators"] == 0
+    made.sock.close()
+
+
+def test_a_second_address_in_use_is_named_in_one_message(tmp_path, monkeypatch):
+    monkeypatch.setattr(phases, "TRIES", 2)
+    holder = listen((HERE, 0))
+    at = "{}:{}".format(*holder.getsockname())
+    with pytest.raises(OSError, match=at) as raised:
+        Served(tmp_path, control=at)
+    assert raised.value.errno == errno.EADDRINUSE
+    holder.close()
+
+
+def test_a_bad_second_address_in_a_new_file_changes_nothing(served):
+    path, (host, port) = pathlib.Path(served.path), served.made.told["control"]
+    path.write_text(path.read_text().replace(f"{host}:{port}", "nowhere"))
+    served.made.reconfigure()
+    assert [what for what, _ in served.rig.logged if what.startswith("config")] == ["configuration_kept"]
+    assert served.call("/api/ready")[0] == 200
+
+
+def test_a_crowd_is_taken_in_a_few_a_turn(served):
+    crowd = [served.connect() for _ in range(3 * clients.ACCEPTS)]
+    most, door = 0, served.made.door
+    while len(door.clients) < min(len(crowd), served.made.budget.most["clients"]):
+        before = len(door.clients)
+        served.made.loop.once(10_000)
+        most = max(most, len(door.clients) - before)
+    assert 0 < most <= clients.ACCEPTS
+
+
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -280,8 +280,8 @@
         "cell": 0, "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0}]}
     rig = Rig()
     made = Program(configuration(file(tmp_path, listen=at, known=known), {}), rig.log)
-    rig.loop, made.sock = made.loop, made.listening()
-    made.inbox.reader, made.life = rig.loop.spawn(made.router.run()), rig.loop.spawn(made.phases())
+    rig.loop = made.loop
+    made.begin()
     assert rig.turn(lambda: made.phase == SERVING)
     busy, idle = (socket.create_connection(made.told["listen"], 2) for _ in range(2))
     busy.sendall(helpers.job(X_Remaining_Ms=4000))
@@ -329,8 +329,8 @@
     rig = Rig()
     path = file(tmp_path, listen=at, known=known)
     made = Program(configuration(path, {}), rig.log, lambda: configuration(path, {}))
-    rig.loop, made.sock = made.loop, made.listening()
-    made.inbox.reader, made.life = rig.loop.spawn(made.router.run()), rig.loop.spawn(made.phases())
+    rig.loop = made.loop
+    made.begin()
     assert rig.turn(lambda: made.phase == SERVING)
     clients, name = [], GOOD["settings"]["queueTypes"][0]["name"]
 
