A new version starts beside the old process; workers are left out by hand

Need: two processes that serve as one dispatcher, and workers that operators take out and call back, over an upgrade. Both listen together; the newest gets all new connections by a filter on the listeners; two locked seats tell who is there; one state file holds workers out by hand, the drain and who is ready. Each has half of descriptors, bodies and cold budget meanwhile. A call is answered once the decisions of both hold it. Ruled out: passing the listening socket, beats for locks.

--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -93,6 +93,7 @@
         self.keys, self.workers, self.ready, self.part, self.jobs = {}, {}, [], [], {}
         self.todo, self.stops, self.due, self.dues = deque(), deque(), [], 0
         self.spare, self.tidy_at, self.over_at = 2.0, now, None
+        self.out, self.back, self.sharers = (), {}, 1  # by the text of ids; see by_hand and sharing
         self.asks(now)
         # What others last told of, when it may be told again, and what was wanted since.
         self.others, self.tell_at, self.fresh_wants, self.by_name = {}, None, Counter(), {}
@@ -143,7 +144,7 @@
             self.following, self.fails, self.ask_at = True, 0, None
         named = {entry[1] for entry in entries}
         for zone, wkr_id, state, born, cls, cell, units in entries:
-            wkr = self.workers.get(wkr_id)
+            wkr, born = self.workers.get(wkr_id), max(born, self.back.get(str(wkr_id), 0))
             if wkr is None:
                 others = [w.slots for w in self.ready] or [FIRST_SLOTS]
                 wkr = self.workers[wkr_id] = Worker(wkr_id, sum(others) / len(others), now)
@@ -152,11 +153,22 @@
                 wkr.fresh(born, now)
             wkr.zone, wkr.kind, wkr.cell, wkr.units, wkr.state = zone, cls, cell, units, state
         for wkr in self.workers.values() if kind != "changes" else ():
-            if wkr.id not in named:
-                wkr.state = "gone"
+            wkr.state = wkr.state if wkr.id in named else "gone"
         # Each release brings new ids: who has gone is forgotten, once nothing of it is out.
         self.workers = {wkr.id: wkr for wkr in self.workers.values() if wkr.state != "gone" or wkr.out}
-        self.ready = [wkr for wkr in self.workers.values() if wkr.state == "ready"]
+        self.sort_out()
+
+    def by_hand(self, now, out, back):
+        """Who is out, whatever the list says, and when who was called back: restarted unseen, so as new."""
+        self.out, self.back = out, back
+        for wkr in self.workers.values():
+            if back.get(str(wkr.id), 0) > wkr.born:
+                wkr.fresh(back[str(wkr.id)], now)
+        self.sort_out()
+
+    def sort_out(self):
+        listed = (wkr for wkr in self.workers.values() if wkr.state == "ready")
+        self.ready = [wkr for wkr in listed if str(wkr.id) not in self.out]
         self.orders, self.by_name = {}, {wkr.name: wkr for wkr in self.ready}
         self.settle_keys()
         self.survey()
@@ -199,6 +211,9 @@
             self.asks(now)
         self.survey()
 
+    def sharing(self, now, sharers):
+        self.sharers = sharers  # processes that are one dispatcher
+
     def leaving(self, now, last):
         """The host ends then: what is open is given up while that can still be told."""
         self.over_at = last - 2 * self.settings["step"]
@@ -441,8 +456,8 @@
 
     def skipped(self, now):
         """How many workers of the list get nothing now."""
-        return sum(wkr.state != "gone" and (wkr.state != "ready" or any(
-            now < aside.back_at for aside in wkr.aside.values())) for wkr in self.workers.values())
+        return sum(wkr not in self.ready or any(now < aside.back_at for aside in wkr.aside.values())
+                   for wkr in self.workers.values() if wkr.state != "gone")
 
     # Decisions
 
@@ -466,10 +481,7 @@
         while self.due and self.due[0][0] <= now:
             what = heappop(self.due)[2]
             if not what.ended:
-                if what.__class__ is Launch:
-                    self.check(what, now)
-                else:
-                    self.todo.append(what)
+                self.check(what, now) if what.__class__ is Launch else self.todo.append(what)
         while self.stops:
             launch = self.stops.popleft()
             if not launch.ended and not launch.revoked:
@@ -556,7 +568,7 @@
         half, room = settings["fall_for"] // 2, settings["fall_multiple"] * self.warmth(wkr, now)
         # Under overload all look past their parts, and then at most half as much again comes from there.
         sharers = len(self.part) if self.beyond and wkr in self.part else 2 * len(self.ready)
-        rate = room * max(self.done / sharers, 0.7 * self.capacity / settings["dispatchers"])
+        rate = room * max(self.done / sharers, 0.7 * self.capacity / settings["dispatchers"]) / self.sharers
         wkr.credit, wkr.asked_at = min(wkr.credit + rate * (now - wkr.asked_at), rate * half), now
         if now >= wkr.drawn_at + half:
             wkr.draw, wkr.drawn_at = self.chance(), now
@@ -664,8 +676,7 @@
             self.value += GAIN * (value - self.value)
         if self.pressure > 0 and self.chance() < self.pressure ** (value / self.value):
             return True
-        limit = max(slack, self.settings["step"]) * value ** 0.5
-        return wait > limit * (0.5 + 0.5 * self.chance())
+        return wait > max(slack, self.settings["step"]) * value ** 0.5 * (0.5 + 0.5 * self.chance())
 
     def press(self, now):
         """By the mean of the last waits, summed up over time: a short trouble common to all passes."""
@@ -680,7 +691,7 @@
         """The share of a tenant's traffic that is over its quota, as far as this dispatcher can tell."""
         tenants = self.settings["tenants"]
         quota = tenants[tenant]["quota"] if tenant < len(tenants) else 0
-        rate = self.rates[tenant] / self.seconds if quota else 0
+        rate = self.rates[tenant] / self.seconds * self.sharers if quota else 0
         return max(0.0, 1 - quota / self.settings["dispatchers"] / rate) if rate else 0.0
 
     def tidy(self, now):
@@ -703,10 +714,10 @@
 
     def survey(self):
         """Figures over the whole fleet, once a second: taken for each job they cost more than deciding."""
-        ready, most = self.ready, {}
-        for kind, frees in self.frees.items():
-            # The most that was free in more than one report in fifty, as they are noisy.
-            most[kind] = max(free for free, n in frees.items() if 50 * n > sum(frees.values()))
+        ready = self.ready
+        # The most that was free in more than one report in fifty, as they are noisy.
+        most = {kind: max(free for free, n in frees.items() if 50 * n > sum(frees.values()))
+                for kind, frees in self.frees.items()}
         for wkr in ready if most else ():
             slots = max(1.0, most.get(wkr.kind, wkr.slots))
             wkr.peak = max(wkr.peak, slots) if self.settings["tells_start"] else slots
@@ -723,7 +734,7 @@
         # it comes again, and each job costs a connection. Parts differ, so all workers are in some.
         size = max(PART, min(int(rate * settings["conn_idle"] / 2e6), self.look))
         self.beyond, size = size < len(ready), min(size, len(ready))
-        kept = [wkr for wkr in self.part if wkr.state == "ready" and not wkr.aside]
+        kept = [wkr for wkr in self.part if wkr in ready and not wkr.aside]
         part = kept[:size] if self.beyond else ready
         for _ in range(8 * size):
             if len(part) >= size:
--- a/mastledge/program/command.py
+++ b/mastledge/program/command.py
@@ -15,7 +15,8 @@
 def serve(args):
     told = configuration(args.config, os.environ)
     log = Log(sys.stderr.fileno(), told["name"], args.log)
-    return Program(told, log, lambda: configuration(args.config, os.environ)).run()
+    return Program(told, log, lambda: configuration(args.config, os.environ),
+                   os.environ.get("TMPDIR")).run()
 
 
 def check(args):
--- a/mastledge/program/operators.py
+++ b/mastledge/program/operators.py
@@ -1,7 +1,12 @@
 """What operators ask for at the second address, and the figures they read there."""
 
+import time
+
 from mastledge.protocol.control import No
 
+PATIENCE = 700_000  # for the process beside this one: a caller waits for 1 s, and the rules hold from then on
+LOOK = 5_000
+
 
 class Operators:
     def __init__(self, program):
@@ -9,6 +14,7 @@
 
     def calls(self):
         return {"/api/ready": (b"GET", self.ready), "/api/telemetry": (b"GET", self.telemetry),
+                "/api/exclude/": (b"POST", self.exclude), "/api/include/": (b"POST", self.include),
                 "/api/evacuate": (b"POST", self.evacuate), "/api/rejoin": (b"POST", self.rejoin)}
 
     def ready(self):
@@ -25,11 +31,47 @@
                     "skipped_workers": router.balancer.skipped(self.program.loop.now())}
         return "".join(f"svc.{name}={n}\n" for name, n in figures.items())
 
+    def known(self, worker):
+        if worker not in self.program.router.peers and worker not in self.program.handover.told["out"]:
+            raise No(404, f"nobody has this id: {worker}")
+
+    def exclude(self, worker):
+        self.known(worker)
+        yield from self.changed(lambda told: told.update(out=sorted({*told["out"], worker})))
+        return f"{worker} is left out"
+
+    def include(self, worker):
+        self.known(worker)
+        program, now = self.program, time.time_ns() // 1000
+        oldest = now - program.told["settings"]["cold_for"]
+
+        def edit(told):
+            if worker in told["out"]:
+                told["out"].remove(worker)
+                told["back"] = {id_: at for id_, at in told["back"].items() if at > oldest} | {worker: now}
+        yield from self.changed(edit)
+        return f"{worker} may serve"
+
+    def changed(self, edit):
+        """Changes what both processes share, and waits until the decisions of both hold it."""
+        program = self.program
+        serial = program.tell(edit)
+        if serial is None:
+            raise No(500, "the process beside this one cannot be told")
+        last = program.loop.now() + PATIENCE
+        while (program.holds or 0) < serial or not program.handover.other_saw(serial):
+            if program.loop.now() >= last:
+                program.log("not_seen", serial=serial, holds=program.holds)
+                return
+            yield (-1, 0, program.loop.now() + LOOK)
+
     def evacuate(self):
-        self.program.evacuate()
+        yield from self.changed(lambda told: told.update(draining=True))
         return "draining"
 
     def rejoin(self):
-        if not self.program.rejoin():
-            raise No(409, f"ending: {self.program.phase}")
+        program = self.program
+        if program.signalled and not program.door.succeeded:
+            raise No(409, f"ending: {program.phase}")
+        yield from self.changed(lambda told: told.update(draining=False))
         return "serving again"
--- a/mastledge/program/phases.py
+++ b/mastledge/program/phases.py
@@ -8,6 +8,7 @@
 from copy import deepcopy
 
 from mastledge.balance import Balancer
+from mastledge.program.handover import Handover
 from mastledge.program.operators import Operators
 from mastledge.protocol.clients import Door
 from mastledge.protocol.control import Control
@@ -15,7 +16,7 @@
 from mastledge.protocol.workers import Workers
 from mastledge.routing.router import Router
 from mastledge.transport.budget import Budget
-from mastledge.transport.connection import listen
+from mastledge.transport.connection import BACKLOG, bound, steer
 from mastledge.transport.loop import READ, Loop, Queue
 
 STARTING, WAITING, SERVING, DRAINING, LEAVING, FINISHING, ENDED = (
@@ -27,6 +28,8 @@
 LAST = 500_000  # and this much more, inside the 0.7 s after which the program is ended from outside
 LOOK = 20_000
 TRIES = 100
+HANDED_OVER, LET_GO = 200_000, 1_000_000  # with a successor: no new connections, then no idle ones
+WATCH, BESIDE = 100_000, 20_000  # between two looks at what another process may have changed
 FIRST_NEWS = 250_000  # what discovery is waited for where workers are known already
 
 
@@ -55,7 +58,7 @@
 
 
 class Program:
-    def __init__(self, told, log, read_again=None):
+    def __init__(self, told, log, read_again=None, folder=None):
         self.told, self.log, self.phase, self.read_again = told, log, STARTING, read_again
         self.loop = loop = Loop(self.fault)
         settings = told["settings"]
@@ -69,7 +72,10 @@
         balancer = Balancer(handed(settings), told["seed"], loop.now())
         self.router = Router(loop, inbox, balancer, self.workers, self.discovery, log)
         self.following = settings["follow"] == "pushed"
-        self.signalled, self.controlling = False, None
+        self.signalled, self.controlling, self.accepting, self.beside = False, None, None, False
+        self.taken = self.holds = None
+        # Without a second address nobody starts another process beside this one, or leaves workers out.
+        self.handover = Handover(folder if told["control"] is not None else None, told["listen"], log)
         self.control = Control(loop, self.budget, Operators(self).calls(), log)
 
     def fault(self, error):
@@ -96,10 +102,16 @@
         return 0 if self.phase == ENDED else 1
 
     def begin(self):
-        self.sock = self.listening(self.told["listen"])
+        self.handover.sit()
+        self.beside = not self.handover.alone()
+        self.sock = self.held(self.told["listen"], self.handover.base is not None)
+        if not self.beside:
+            self.sock.listen(BACKLOG)
         if self.told["control"] is not None:
-            self.controlling = self.listening(self.told["control"], 64)
+            self.controlling = self.held(self.told["control"])
+            self.controlling.listen(64)
             self.loop.spawn(self.control.listen(self.controlling), first=True)
+            self.loop.spawn(self.vital(self.watch()), first=True)
         self.inbox.reader = self.loop.spawn(self.vital(self.router.run()))
         self.life = self.loop.spawn(self.vital(self.phases()))
 
@@ -111,11 +123,11 @@
             self.fault(error)
             self.loop.running = False
 
-    def listening(self, address, backlog=1024):
+    def held(self, address, together=False):
         """The address may still be held by the process before, which is ending."""
         for left in reversed(range(TRIES)):
             try:
-                return listen(address, backlog)
+                return bound(address, together)
             except OSError as error:
                 if error.errno != errno.EADDRINUSE or not left:
                     raise OSError(error.errno, f"{address[0]}:{address[1]}: {error.strerror}") from None
@@ -137,7 +149,9 @@
         """Takes over from the file what can change under load; workers, jobs and what was learned stay."""
         try:
             told = self.read_again()
-            self.budget.resize(descriptors(told["sockets"]), told["memory"])
+            descriptors(told["sockets"])
+            self.told["sockets"], self.told["memory"] = told["sockets"], told["memory"]
+            self.share()
         except Exception as error:
             # Whoever replaces a file under load must not end the service with a slip in it.
             self.log("configuration_kept", why=str(error) or type(error).__name__)
@@ -175,18 +189,73 @@
         heard = impatient or self.discovery.task is None or self.discovery.answered
         return heard and any(peer.state == "ready" for peer in self.router.peers.values())
 
-    def evacuate(self):
-        """Ready says no from this very call on; the phase follows."""
-        if not self.door.draining:
-            self.door.draining = self.loop.now()
+    # Two processes that are one dispatcher
+
+    def share(self):
+        """While another process is beside, each has half of what the dispatcher may use."""
+        parts = 1 + self.beside
+        self.budget.resize(descriptors(self.told["sockets"]) // parts, self.told["memory"] // parts)
+        self.budget.shrink()
+
+    def watch(self):
+        handover, shared = self.handover, False
+        handover.look()
+        if not self.beside:
+            # What is out by hand stays so; a drain and who was ready ended with those processes.
+            handover.change(lambda told: told.update(draining=False, ready=[], seen={}))
+        while True:
+            self.beside = not handover.alone()
+            if self.beside != shared:
+                shared = self.beside
+                self.log("beside", other=shared)
+                self.share()
+                self.inbox.put("sharing", 1 + shared)
+            handover.look()
+            if handover.told["serial"] != self.taken:
+                self.take_up()
+            yield (-1, 0, self.loop.now() + (BESIDE if shared else WATCH))
+
+    def take_up(self):
+        """What is shared, into this process."""
+        told, now = self.handover.told, self.loop.now()
+        self.drain(told["draining"])
+        self.taken = serial = told["serial"]
+        fresh = {worker: min(at - self.discovery.since, now) for worker, at in told["back"].items()}
+        self.inbox.put("by_hand", frozenset(told["out"]), fresh, lambda: self.saw(serial))
+
+    def saw(self, serial):
+        """The decisions hold all up to this number."""
+        self.holds = serial
+        if self.beside:
+            seat = str(self.handover.seat)
+            self.handover.change(lambda told: told["seen"].update({seat: serial}), news=False)
+
+    def tell(self, edit):
+        """Changes what is shared and takes it up here; its number, or None: the other cannot learn of it."""
+        if not self.handover.change(edit):
+            return None
+        self.take_up()
+        return self.taken
+
+    def drain(self, wanted):
+        """Ready says no from this very call on, or yes again; the phase follows."""
+        if bool(wanted) != bool(self.door.draining):
+            self.door.draining = wanted and self.loop.now()
             self.loop.wake(self.life)
 
-    def rejoin(self):
-        if self.signalled:
-            return False
-        self.door.draining = False
-        self.loop.wake(self.life)
-        return True
+    def opened(self):
+        """Takes in clients from now on; all new ones where the process before is still there."""
+        self.sock.listen(BACKLOG)
+        if self.beside:
+            self.log("steered", done=steer(self.sock, 1))
+        self.accepting = self.loop.spawn(self.door.listen(self.sock))
+
+    def says_ready(self, ready):
+        seat = self.handover.seat
+
+        def edit(told):
+            told["ready"] = [*({*told["ready"]} - {seat}), *([seat] if ready else [])]
+        self.tell(edit)
 
     def phases(self):
         loop, door, router = self.loop, self.door, self.router
@@ -197,10 +266,12 @@
             self.log("known_unusable", why=str(error))
         if self.following or self.discovery.generation is None:
             self.discovery.follow()
-        listening = loop.spawn(door.listen(self.sock))
         self.go(WAITING)
         patient = loop.now() + FIRST_NEWS
         while not self.signalled:
+            door.ready = door.ready or self.can_serve(loop.now() >= patient)
+            if self.accepting is None and (door.ready or not self.beside):
+                self.opened()
             if door.draining:
                 if self.phase != DRAINING:
                     self.go(DRAINING)
@@ -210,29 +281,36 @@
             if self.phase == DRAINING:
                 self.go(WAITING)
             if self.phase == WAITING:
-                door.ready = door.ready or self.can_serve(loop.now() >= patient)
                 if not door.ready:
                     yield (-1, 0, loop.now() + LOOK // 10)
                     continue
+                self.says_ready(True)
                 self.go(SERVING)
             yield (-1, 0, None)
         told_at = loop.now()
         last = told_at + min(self.walltime, LONGEST) + LAST
         # The others may be ending too, so who is connected is served as long as what comes can still be done.
         closing = max(told_at + ACCEPTING, (told_at + last) // 2)
-        door.leaving = told_at
+        door.leaving, idle_from = told_at, 0
+        if self.handover.other_ready():
+            # All new connections go there: who is connected here comes there with its next job.
+            door.succeeded = door.closing = True
+            closing, idle_from = told_at + HANDED_OVER, told_at + LET_GO
+        self.says_ready(False)
         self.inbox.put("leaving", last)
         self.go(LEAVING)
         while loop.now() < closing:
             yield (-1, 0, closing)
-        loop.cancel(listening)
+        if self.accepting is not None:
+            loop.cancel(self.accepting)
         door.closing = True
         door.last_call(self.sock)
         loop.forget(self.sock.fileno())
         self.sock.close()
         self.go(FINISHING)
         while door.clients and loop.now() < last:
-            door.close_all_idle()
+            if loop.now() >= idle_from:
+                door.close_all_idle()
             yield (-1, 0, loop.now() + LOOK)
         self.inbox.put("over")
         while door.clients and loop.now() < last + LAST // 5:
--- a/mastledge/protocol/clients.py
+++ b/mastledge/protocol/clients.py
@@ -29,7 +29,7 @@
     def __init__(self, loop, budget, inbox, words, log):
         self.loop, self.budget, self.inbox, self.log = loop, budget, inbox, log
         self.clients, self.ready, self.in_hand = set(), False, 0
-        self.leaving = self.closing = self.draining = False
+        self.leaving = self.closing = self.draining = self.succeeded = False
         self.ended = {what: {} for what in ("passed", "dropped", "bad_gateway")}
         self.names, self.known = set(), deque()
         self.configure(words)
@@ -200,7 +200,8 @@
             raise BadRequest(405, "")
         path = head.target.partition(b"?")[0]
         if path == b"/health/ready":
-            up = self.up()
+            # Who asks here means the dispatcher, which goes on in another process where that has taken over.
+            up = self.up() or self.succeeded and not self.draining
             return (200 if up else 503), [], b"ready" if up else b"not ready"
         if path == b"/health/live":
             return 200, [], b"live"
@@ -244,7 +245,7 @@
         """
         if self.draining and self.loop.now() >= self.draining + REFUSES:
             return True
-        late = self.few and self.leaving and self.loop.now() >= self.leaving + FEWER
+        late = self.few and self.leaving and not self.succeeded and self.loop.now() >= self.leaving + FEWER
         return late and len(self.budget.idle["clients"]) < FREE
 
     def outcome(self, conn, exchange):
--- a/mastledge/protocol/control.py
+++ b/mastledge/protocol/control.py
@@ -99,10 +99,9 @@
 
     def done(self, head):
         path = head.target.partition(b"?")[0].decode("latin-1")
-        call, worker = self.calls.get(path), ()
-        if call is None:
-            start, _, rest = path.rpartition("/")
-            call, worker = self.calls.get(start + "/"), (unquote(rest),)
+        start, _, rest = path.rpartition("/")
+        worker = (unquote(rest),) if start + "/" in self.calls else ()
+        call = self.calls.get(start + "/" if worker else path)
         if call is None or worker == ("",):
             raise No(404, "no such call")
         method, carry_out = call
--- a/mastledge/protocol/workers.py
+++ b/mastledge/protocol/workers.py
@@ -19,10 +19,11 @@
 class Peer:
     """A worker as sockets know it: its address and the idle connections to it. Decisions name it by this."""
 
-    __slots__ = ("id", "address", "idle", "born", "state")
+    __slots__ = ("id", "address", "idle", "born", "state", "out")
 
-    def __init__(self, wkr_id):
+    def __init__(self, wkr_id, out=False):
         self.id, self.address, self.idle, self.born, self.state = wkr_id, None, [], 0, "ready"
+        self.out = out  # by hand
 
     def __str__(self):
         # Dispatchers agree on homes for keys by this, so it must be the same at all of them.
@@ -60,7 +61,7 @@
         return None
 
     def kept(self, peer, conn):
-        if peer.state != "ready" or not conn.quiet():
+        if peer.out or peer.state != "ready" or not conn.quiet():
             conn.close()
             return
         conn.buffer.clear()
--- a/mastledge/routing/router.py
+++ b/mastledge/routing/router.py
@@ -27,6 +27,7 @@
         self.loop, self.inbox, self.balancer = loop, inbox, balancer
         self.workers, self.discovery, self.log = workers, discovery, log
         self.jobs, self.peers, self.count, self.faults = {}, {}, 0, 0
+        self.out = frozenset()
         self.totals = {"completed": 0, "rejected": 0, "killed": 0, "abandoned": 0}
 
     def run(self):
@@ -56,7 +57,7 @@
         for wkr_id, address, zone, state, born, cls, cell, units in entries:
             peer = self.peers.get(wkr_id)
             if peer is None:
-                peer = self.peers[wkr_id] = Peer(wkr_id)
+                peer = self.peers[wkr_id] = Peer(wkr_id, wkr_id in self.out)
             if state != "ready" or born > peer.born or (peer.address and address != peer.address):
                 # Nothing new goes there, or its connections died with its former life.
                 self.workers.hang_up(peer)
@@ -115,6 +116,24 @@
                      ms=(now - launch.at) / 1000)
         self.forget(job)
 
+    def on_by_hand(self, now, out, back, held):
+        """Nothing new goes to who is out from here on, also what was decided and is not written yet."""
+        self.out = out
+        self.balancer.by_hand(now, out, back)
+        for peer in self.peers.values():
+            was, peer.out = peer.out, peer.id in out
+            if peer.out and not was:
+                self.workers.hang_up(peer)
+        for job in self.jobs.values():
+            for launch in job.launches:
+                if launch.peer.id in out and not launch.sent:
+                    self.do_revoke(now, job.id, launch.n)
+        self.log("by_hand", out=sorted(out))
+        held()
+
+    def on_sharing(self, now, sharers):
+        self.balancer.sharing(now, sharers)
+
     def on_configured(self, now, settings):
         self.balancer.configured(now, settings)
 
--- a/mastledge/transport/budget.py
+++ b/mastledge/transport/budget.py
@@ -5,6 +5,7 @@
 
 SPARE = 16  # standard streams, epoll, wake-up, listener, and a few to answer with when all is full
 OPERATORS = 12  # connections of operators, which clients cannot use up
+HELD = 4  # beside them: their listener and epoll, the files shared with another process
 # Who goes for a new one, in this order: clients that never said all of it before those that had an answer.
 CLIENTS = ("unused", "unfinished", "clients")
 GIVE_WAY = {"clients": CLIENTS, "workers": ("workers",), "discovery": (), "operators": ()}
@@ -22,12 +23,18 @@
     def resize(self, sockets, memory):
         # A body is held once as it came and once on its way to a worker, in room that grows by doubling.
         self.most_bytes = memory // 8
-        total = max(8, sockets - SPARE - self.operators)
+        total = max(8, sockets - SPARE - (self.operators and self.operators + HELD))
         # A client in hand needs a worker's connection, and some of those are still ending their last answer.
         clients = total * 12 // 25
         self.most = {"clients": clients, "workers": total - clients, "discovery": 2,
                      "operators": self.operators}
 
+    def shrink(self):
+        """Idle connections beyond what may be open now go at once; the others when they end."""
+        for kind, most in self.most.items():
+            while self.used[kind] > most and self.evict(*GIVE_WAY[kind]):
+                pass
+
     def beyond(self, kind, spare=SPARE // 4):
         """Whether even the few that are answered although the budget is used up are too many."""
         return self.used[kind] >= self.most[kind] + spare and not self.evict(*GIVE_WAY[kind])
--- a/mastledge/transport/connection.py
+++ b/mastledge/transport/connection.py
@@ -3,13 +3,17 @@
 import errno
 import os
 import socket
+import struct
 import sys
+from array import array
 from ipaddress import ip_address
 
 from mastledge.transport.budget import SHORT
 from mastledge.transport.buffer import Buffer
 from mastledge.transport.loop import GONE, READ, WRITE
 
+BACKLOG = 1024
+ATTACH_REUSEPORT_CBPF, RETURN = 51, 0x06  # linux/socket.h, linux/bpf_common.h
 FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -128,12 +132,24 @@
         raise
 
 
-def listen(address, backlog=1024):
+def bound(address, together=False):
+    """A socket that holds the address, `together` with other processes of this user that hold it so."""
     sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if together:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         sock.setblocking(False)
         sock.bind(address)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+def listen(address, backlog=BACKLOG):
+    sock = bound(address)
+    try:
         sock.listen(backlog)
     except OSError:
         sock.close()
@@ -141,6 +157,19 @@
     return sock
 
 
+def steer(sock, place):
+    """New connections all go to the listener of this place among those that listen together.
+
+    Without such a listener the kernel deals them out as before. False where it knows no such filter.
+    """
+    code = array("B", struct.pack("HBBI", RETURN, 0, 0, place))
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, ATTACH_REUSEPORT_CBPF, struct.pack("HP", 1, code.buffer_info()[0]))
+    except OSError:
+        return False
+    return True
+
+
 def accept(sock, budget):
     """The next connection that waits, or None, and whether to wait a little before the next call."""
     while True:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -27,7 +27,7 @@
 class Served:
     """A whole program that serves, with one stand-in worker, in this thread's own loop."""
 
-    def __init__(self, path, ready=True, **changed):
+    def __init__(self, path, ready=True, folder=None, **changed):
         peer, self.sock = peer_at()
         known = {"generation": 1, "reset": True, "instances": [{
             "instanceId": "s-1", "hostPort": f"{HERE}:{peer.address[1]}", "zone": "z", "machineType": "k",
@@ -36,7 +36,7 @@
         self.path = file(path, **told)
         self.rig = rig = Rig()
         told = configuration(self.path, {})
-        self.made = made = Program(told, rig.log, lambda: configuration(self.path, {}))
+        self.made = made = Program(told, rig.log, lambda: configuration(self.path, {}), folder)
         rig.loop = made.loop
         made.loop.on_error = rig.errors.append
         made.begin()
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,382 @@
+"""Two processes of one dispatcher, and workers out by hand, which both must hold."""
+
+import errno
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import orjson
+import pytest
+from helpers import HERE, Rig, arrive, balancer, entry, pull
+from test_control import Served, free
+from test_program import arrived, file, router
+
+from mastledge.program import handover, operators, phases
+from mastledge.program.handover import Handover, nothing
+from mastledge.program.phases import SERVING
+from mastledge.transport.connection import bound, steer
+
+LISTEN = ("127.0.0.1", 7070)
+
+
+def shares(folder, log=lambda event, **fields: None):
+    made = Handover(str(folder), LISTEN, log)
+    made.sit()
+    return made
+
+
+def test_two_have_a_seat_and_a_death_frees_it(tmp_path, monkeypatch):
+    monkeypatch.setattr(handover, "WAITS", 2)
+    first = shares(tmp_path)
+    assert first.alone()
+    second = shares(tmp_path)
+    assert not first.alone() and not second.alone() and {first.seat, second.seat} == {0, 1}
+    with pytest.raises(OSError, match="two processes") as raised:
+        shares(tmp_path)
+    assert raised.value.errno == errno.EADDRINUSE
+    first.leave()
+    assert second.alone()
+    assert shares(tmp_path).seat == first.seat
+
+
+def test_what_one_changes_the_other_reads_and_says_so(tmp_path):
+    one, other = shares(tmp_path), shares(tmp_path)
+    assert one.change(lambda told: told.update(out=["s-1"]))
+    assert not one.other_saw(one.told["serial"])
+    assert other.look() and other.told["out"] == ["s-1"] and not other.look()
+    other.change(lambda told: told["seen"].update({str(other.seat): told["serial"]}), news=False)
+    assert one.look() and one.other_saw(1) and one.told["serial"] == 1
+    other.leave()
+    assert one.other_saw(99)
+
+
+@pytest.mark.parametrize("left", [
+    b"", b"{", b"\xff\xfe", orjson.dumps(nothing())[:-9], orjson.dumps({**nothing(), "version": 2}), b"[]",
+    orjson.dumps({**nothing(), "out": [1]}), orjson.dumps({**nothing(), "back": {"s": "soon"}})])
+def test_a_state_that_cannot_be_used_is_logged_and_costs_nothing(left, tmp_path):
+    logged = []
+    one = shares(tmp_path, lambda event, **fields: logged.append(event))
+    with open(one.base + ".state", "wb") as state:
+        state.write(left)
+    assert not one.look() and one.told == nothing() and logged == ["handover_unreadable"]
+    assert not one.look() and len(logged) == 1
+    assert one.change(lambda told: told.update(out=["s-1"]))
+    other = shares(tmp_path)
+    assert other.look() and other.told["out"] == ["s-1"]
+
+
+def test_without_a_folder_or_room_in_it_the_process_goes_on_alone(tmp_path):
+    for folder in (None, str(tmp_path / "nowhere")):
+        made = Handover(folder, LISTEN, lambda event, **fields: None)
+        made.sit()
+        assert made.alone() and made.change(lambda told: told.update(out=["s-1"]))
+        assert made.told["out"] == ["s-1"] and not made.look()
+
+
+def test_a_state_that_cannot_be_written_is_held_alone_but_not_beside_another(tmp_path, monkeypatch):
+    one = shares(tmp_path)
+
+    def full(told):
+        raise OSError(errno.ENOSPC, "no space")
+    monkeypatch.setattr(one, "write", full)
+    assert one.change(lambda told: told.update(out=["s-1"])) and one.told["out"] == ["s-1"]
+    assert one.told["serial"] == 1
+    other = shares(tmp_path)
+    assert not one.change(lambda told: told.update(out=[])) and one.told["out"] == ["s-1"]
+    other.leave()
+
+
+def test_new_connections_go_to_the_newest_listener_and_back_when_it_ends():
+    one = bound((HERE, 0), True)
+    other = bound(one.getsockname(), True)
+    for sock in (one, other):
+        sock.listen(64)
+    assert steer(other, 1)
+    callers = [socket.create_connection(one.getsockname(), 2) for _ in range(40)]
+    for _ in callers:
+        other.accept()
+    with pytest.raises(BlockingIOError):
+        one.accept()
+    other.close()
+    callers.append(socket.create_connection(one.getsockname(), 2))
+    assert one.accept()
+    one.close()
+
+
+# The decisions
+
+@pytest.mark.parametrize("news", [
+    None, ("changes", [entry(0, "gone")]), ("changes", [entry(0, born=50)]), ("whole", [entry(0), entry(1)]),
+    ("whole", [entry(1)]), ("changes", [entry(0, "draining")])])
+def test_nothing_new_goes_to_who_is_out_whatever_the_list_says(news):
+    made = balancer(workers=2)
+    made.by_hand(0, {"0"}, {})
+    if news:
+        made.members(1, *news)
+        made.members(2, "changes", [entry(0)])
+    for n in range(5):
+        arrive(made, 10, job=n)
+    assert {decision[:3:2] for decision in pull(made, 10)} == {("launch", 1)}
+    assert made.skipped(10) == 1
+
+
+@pytest.mark.parametrize("aside", [False, True])
+def test_who_is_called_back_is_fed_as_a_cold_worker(aside):
+    made = balancer(workers=2)
+    if aside:
+        arrive(made, 0)
+        ((_, job_id, wkr_id, _),) = pull(made, 0)
+        made.ended(1_000, job_id, 0, "error", 1_000, False, ())
+    made.by_hand(2_000, {"0", "1"}, {})
+    assert made.ready == []
+    made.by_hand(9_000_000, set(), {"0": 8_900_000, "1": 8_900_000})
+    worker = made.workers[0]
+    assert (worker.born, worker.credit, worker.aside) == (8_900_000, 0.0, {}) and len(made.ready) == 2
+    assert made.warmth(worker, 9_000_000) < 0.3
+    # A list that is behind still names its former start; one that is not, a later one.
+    made.members(9_100_000, "whole", [entry(0), entry(1, born=9_050_000)])
+    assert (made.workers[0].born, made.workers[1].born) == (8_900_000, 9_050_000)
+
+
+def test_who_comes_back_to_the_list_after_the_call_is_cold_as_well():
+    made = balancer(workers=2)
+    made.by_hand(0, {"0"}, {})
+    made.members(1, "whole", [entry(1)])
+    made.by_hand(5_000_000, set(), {"0": 5_000_000})
+    made.members(6_000_000, "changes", [entry(0)])
+    assert made.workers[0].born == 5_000_000
+
+
+@pytest.mark.parametrize("sharers", [1, 2])
+def test_two_processes_share_what_a_cold_worker_may_get(sharers):
+    made = balancer(workers=2)
+    made.by_hand(0, (), {"0": 1})
+    made.sharing(0, sharers)
+    arrive(made, 0, hint=1_000)
+    made.cold_room(made.workers[0], made.jobs[1], 100_000)
+    alone = balancer(workers=2)
+    alone.by_hand(0, (), {"0": 1})
+    arrive(alone, 0, hint=1_000)
+    alone.cold_room(alone.workers[0], alone.jobs[1], 100_000)
+    assert made.workers[0].credit * sharers == pytest.approx(alone.workers[0].credit)
+
+
+@pytest.mark.parametrize(("sent", "revoked"), [(False, True), (True, False)])
+def test_what_was_decided_and_not_written_when_the_call_came_is_called_off(sent, revoked):
+    rig = Rig()
+    made, _ = router(rig)
+    (peer,) = made.peers.values()
+    task, _ = arrived(rig, made)
+    task.launches[0].sent = sent
+    held = []
+    made.on_by_hand(rig.loop.now(), frozenset({peer.id}), {}, lambda: held.append(True))
+    assert held and peer.out and task.launches[0].task.ended == revoked
+    assert [item[2] for item in rig.inbox.items if item[0] == "ended"] == (["unsent"] if revoked else [])
+
+
+# Calls
+
+def calls(served, *steps):
+    return [served.call(path, "POST")[0] for path in steps]
+
+
+@pytest.fixture
+def folder(tmp_path, monkeypatch):
+    monkeypatch.setattr(phases, "FIRST_NEWS", 0)
+    (tmp_path / "shared").mkdir()
+    return tmp_path / "shared"
+
+
+def begun(path, folder, **changed):
+    return Served(path, folder=str(folder), **changed)
+
+
+@pytest.mark.parametrize(("steps", "answers", "out"), [
+    (["/api/exclude/s-1"], [200], ["s-1"]), (["/api/exclude/s-1", "/api/exclude/s-1"], [200, 200], ["s-1"]),
+    (["/api/exclude/s-1", "/api/exclude/s-1", "/api/include/s-1"], [200, 200, 200], []),
+    (["/api/exclude/nobody", "/api/include/nobody", "/api/exclude/"], [404, 404, 404], []),
+    (["/api/include/s-1"], [200], []), (["/api/exclude/s%2D1"], [200], ["s-1"])])
+def test_workers_are_left_out_by_calls(steps, answers, out, tmp_path, folder):
+    served = begun(tmp_path, folder).serving()
+    assert calls(served, *steps) == answers and served.made.handover.told["out"] == out
+    assert served.made.router.out == frozenset(out)
+    assert [wkr.id.id for wkr in served.made.router.balancer.ready] == ([] if out else ["s-1"])
+    figures = served.figures()
+    assert (figures["svc.known_workers"], figures["svc.skipped_workers"]) == (1, len(out))
+    # Back without having been out is no restart; after it the worker is cold, also with the list behind.
+    (worker,) = served.made.router.balancer.workers.values()
+    assert (worker.born > 0) == (steps[-1] == "/api/include/s-1" and len(steps) > 1)
+    served.close()
+
+
+class Pair:
+    """Two programs of one dispatcher in one thread, each with its own loop."""
+
+    def __init__(self, path, folder):
+        self.old = begun(path, folder).serving()
+        listen = "{}:{}".format(*self.old.made.told["listen"])
+        self.new = begun(path, folder, listen=listen)
+        self.both = (self.old, self.new)
+        for served in self.both:
+            served.turn = self.turn
+            served.rig.turn = self.turn
+
+    def turn(self, until, longest=2_000_000):
+        last = time.monotonic() + longest / 1e6
+        while not until() and time.monotonic() < last:
+            for served in self.both:
+                served.made.loop.once(2_000)
+        return until()
+
+    def close(self):
+        for served in self.both:
+            served.close()
+
+
+@pytest.fixture
+def pair(tmp_path, folder):
+    made = Pair(tmp_path, folder)
+    assert made.turn(lambda: made.new.made.phase == SERVING and made.old.made.beside)
+    yield made
+    made.close()
+
+
+def test_two_share_descriptors_bodies_and_cold_budget_until_one_is_gone(pair):
+    whole = 128 - 32
+    assert pair.turn(lambda: all(served.made.router.balancer.sharers == 2 for served in pair.both))
+    for served in pair.both:
+        assert served.made.budget.most["clients"] < whole * 12 // 25 // 2
+        assert served.made.budget.most_bytes == (256 << 20) // 16
+    pair.old.made.handover.leave()
+    assert pair.turn(lambda: pair.new.made.router.balancer.sharers == 1)
+    assert pair.new.made.budget.most["clients"] == whole * 12 // 25
+
+
+@pytest.mark.parametrize("at", [0, 1])
+def test_who_is_out_is_out_in_both_before_the_yes(pair, at):
+    assert pair.both[at].call("/api/exclude/s-1", "POST")[0] == 200
+    assert [served.made.router.balancer.ready for served in pair.both] == [[], []]
+    assert pair.both[1 - at].call("/api/include/s-1", "POST")[0] == 200
+    assert [len(served.made.router.balancer.ready) for served in pair.both] == [1, 1]
+
+
+@pytest.mark.parametrize("at", [0, 1])
+def test_a_drain_during_an_upgrade_is_a_drain_of_both(pair, at):
+    assert pair.both[at].call("/api/evacuate", "POST")[0] == 200
+    assert [served.call("/api/ready")[0] for served in pair.both] == [503, 503]
+    assert pair.both[1 - at].call("/api/rejoin", "POST")[0] == 200
+    assert [served.call("/api/ready")[0] for served in pair.both] == [200, 200]
+
+
+def test_after_the_signal_the_old_one_hands_over_and_turns_nobody_back(pair):
+    kept = pair.old.connect()
+    # What is connected stays with its process; the steering sends every new one to the other.
+    assert pair.turn(lambda: pair.new.made.door.clients) and not pair.old.made.door.clients
+    pair.old.made.signalled = True
+    pair.old.made.loop.wake(pair.old.made.life)
+    assert pair.turn(lambda: pair.old.made.phase == "ended", 3_000_000)
+    pair.both = (pair.new,)
+    kept.sendall(b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert pair.new.rig.reply(kept).startswith(b"HTTP/1.1 200")
+    pair.both = (pair.old, pair.new)
+    pair.old.made.handover.leave()
+
+
+def test_health_speaks_for_the_dispatcher_once_another_process_has_taken_over(pair):
+    pair.old.made.door.succeeded, pair.old.made.door.leaving = True, 1
+    conn, theirs = pair.old.rig.pair()
+    conn.loop = pair.old.made.loop
+    conn.owner = pair.old.made.loop.spawn(pair.old.made.door.serve(conn, False))
+    theirs.sendall(b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert pair.old.rig.reply(theirs).startswith(b"HTTP/1.1 200")
+    assert pair.old.call("/api/ready")[0] == 503
+    theirs.close()
+
+
+@pytest.mark.parametrize("drained", [False, True])
+def test_what_was_shared_after_a_death_of_all_is_out_by_hand_only(drained, tmp_path, folder):
+    old = begun(tmp_path, folder).serving()
+    assert calls(old, "/api/exclude/s-1", *["/api/evacuate"] * drained) == [200] * (1 + drained)
+    old.made.handover.leave()
+    old.close()
+    new = begun(tmp_path, folder, listen="{}:{}".format(*old.made.told["listen"]))
+    assert new.turn(lambda: new.made.phase == SERVING)
+    assert new.made.router.out == {"s-1"} and not new.made.door.draining
+    new.close()
+
+
+def test_a_new_process_that_never_gets_ready_takes_no_clients(tmp_path, folder):
+    old = begun(tmp_path, folder).serving()
+    new = begun(tmp_path, folder, listen="{}:{}".format(*old.made.told["listen"]), known={})
+    for _ in range(20):
+        new.made.loop.once(2_000)
+    assert new.made.accepting is None
+    assert all(old.health() == 200 for _ in range(10))
+    new.made.handover.leave()
+    assert old.turn(lambda: not old.made.beside)
+    for served in (old, new):
+        served.close()
+
+
+def test_a_call_is_answered_though_the_other_process_stands_still(pair, monkeypatch):
+    monkeypatch.setattr(operators, "PATIENCE", 100_000)
+    pair.both = (pair.old,)
+    assert pair.old.call("/api/exclude/s-1", "POST")[0] == 200
+    assert "not_seen" in [what for what, _ in pair.old.rig.logged]
+    pair.both = (pair.old, pair.new)
+
+
+# Whole processes
+
+def started(tmp_path, folder, listen, peer_port, control):
+    known = {"generation": 1, "reset": True, "instances": [{
+        "instanceId": "s-1", "hostPort": f"{HERE}:{peer_port}", "zone": "z", "machineType": "k", "cell": 0,
+        "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0}]}
+    path = file(tmp_path, listen=listen, discovery=free(), known=known)
+    env = {**os.environ, "TMPDIR": str(folder), "GW_CONTROL": control}
+    return subprocess.Popen([sys.executable, "-m", "mastledge", "serve", "--config", path], env=env,
+                            stderr=subprocess.DEVNULL)
+
+
+def asked(at, path):
+    host, _, port = at.rpartition(":")
+    try:
+        with socket.create_connection((host, int(port)), 2) as sock:
+            sock.sendall(f"GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n".encode())
+            return int(sock.makefile("rb").readline().split()[1])
+    except (OSError, IndexError):
+        return 0
+
+
+def soon(check, longest=8):
+    last = time.monotonic() + longest
+    while not check() and time.monotonic() < last:
+        time.sleep(0.02)
+    return check()
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGKILL])
+def test_whole_processes_take_over_and_every_connection_is_answered(number, tmp_path, folder):
+    listen, first, second = free(), free(), free()
+    worker = bound((HERE, 0))
+    worker.listen(8)
+    old = started(tmp_path, folder, listen, worker.getsockname()[1], first)
+    new = None
+    try:
+        assert soon(lambda: asked(first, "/api/ready") == 200)
+        new = started(tmp_path, folder, listen, worker.getsockname()[1], second)
+        assert soon(lambda: asked(second, "/api/ready") == 200)
+        assert all(asked(listen, "/health/ready") == 200 for _ in range(50))
+        old.send_signal(number)
+        assert all(asked(listen, "/health/ready") == 200 for _ in range(50))
+        assert old.wait(6) == (0 if number == signal.SIGTERM else -signal.SIGKILL)
+        assert asked(listen, "/health/ready") == asked(second, "/api/ready") == 200 and new.poll() is None
+    finally:
+        for process in (old, new):
+            if process is not None:
+                process.kill()
+                process.wait()
+        worker.close()
