The old process looks for its successor when the signal comes, not at its next turn

Cause: other_ready read what the last look, up to 0.1 s old, had brought (handover.py). Ruled out: the filter (steered: done), the seats (beside was seen later). It looks at the call, and goes on looking while leaving.

--- a/mastledge/program/handover.py
+++ b/mastledge/program/handover.py
@@ -80,6 +80,8 @@
         return True
 
     def other_ready(self):
+        # The signal comes as soon as the other says so, before the next look that is due.
+        self.look()
         return 1 - self.seat in self.told["ready"] and not self.alone()
 
     def other_saw(self, serial):
--- a/mastledge/program/logs.py
+++ b/mastledge/program/logs.py
@@ -14,13 +14,14 @@
 
     def __init__(self, fd, name, level="info"):
         self.fd, self.name, self.quiet = fd, name, {"job", "launch_ended"} if level == "brief" else ()
-        self.poll, self.lost = select.poll(), 0
+        self.poll, self.lost, self.pid = select.poll(), 0, os.getpid()  # two processes may have one name
         self.poll.register(fd, select.POLLOUT)
 
     def __call__(self, event, **fields):
         if event in self.quiet:
             return
-        line = {"at": time.time_ns() // 1_000_000, "name": self.name, "event": event, **fields}
+        line = {"at": time.time_ns() // 1_000_000, "name": self.name, "pid": self.pid, "event": event,
+                **fields}
         if self.lost:
             line["lost"] = self.lost
         try:
@@ -30,7 +31,7 @@
             raw = orjson.dumps({"event": "unwritable", "of": event, "why": ascii(error)},
                                option=orjson.OPT_APPEND_NEWLINE)
         if len(raw) > MOST:
-            short = {"at": line["at"], "name": self.name, "event": event, "cut": len(raw)}
+            short = {**{key: line[key] for key in ("at", "name", "pid", "event")}, "cut": len(raw)}
             raw = orjson.dumps(short, option=orjson.OPT_APPEND_NEWLINE)
         try:
             ready = self.poll.poll(0)
--- a/mastledge/program/phases.py
+++ b/mastledge/program/phases.py
@@ -292,15 +292,16 @@
         # The others may be ending too, so who is connected is served as long as what comes can still be done.
         closing = max(told_at + ACCEPTING, (told_at + last) // 2)
         door.leaving, idle_from = told_at, 0
-        if self.handover.other_ready():
-            # All new connections go there: who is connected here comes there with its next job.
-            door.succeeded = door.closing = True
-            closing, idle_from = told_at + HANDED_OVER, told_at + LET_GO
         self.says_ready(False)
         self.inbox.put("leaving", last)
         self.go(LEAVING)
         while loop.now() < closing:
-            yield (-1, 0, closing)
+            if not door.succeeded and self.handover.other_ready():
+                # All new connections go there: who is connected here comes there with its next job.
+                door.succeeded = door.closing = True
+                closing, idle_from = loop.now() + HANDED_OVER, loop.now() + LET_GO
+                self.log("succeeded")
+            yield (-1, 0, min(closing, loop.now() + BESIDE))
         if self.accepting is not None:
             loop.cancel(self.accepting)
         door.closing = True
--- a/mastledge/routing/router.py
+++ b/mastledge/routing/router.py
@@ -118,6 +118,8 @@
 
     def on_by_hand(self, now, out, back, held):
         """Nothing new goes to who is out from here on, also what was decided and is not written yet."""
+        if out != self.out:
+            self.log("by_hand", out=sorted(out))
         self.out = out
         self.balancer.by_hand(now, out, back)
         for peer in self.peers.values():
@@ -128,7 +130,6 @@
             for launch in job.launches:
                 if launch.peer.id in out and not launch.sent:
                     self.do_revoke(now, job.id, launch.n)
-        self.log("by_hand", out=sorted(out))
         held()
 
     def on_sharing(self, now, sharers):
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -380,3 +380,23 @@
                 process.kill()
                 process.wait()
         worker.close()
+
+
+@pytest.mark.parametrize("late", [0, 300_000])
+def test_a_signal_right_behind_the_yes_finds_the_successor(late, pair, monkeypatch):
+    # It was looked for every 0.1 s only, and the old process served on as if none had come.
+    old, new = pair.old.made, pair.new.made
+    new.says_ready(False)
+    assert pair.turn(lambda: old.handover.told["ready"] == [old.handover.seat])
+    monkeypatch.setattr(phases, "BESIDE", 600_000)
+    old.signalled = True
+    if not late:
+        new.says_ready(True)
+    old.loop.wake(old.life)
+    monkeypatch.setattr(phases, "BESIDE", 20_000)
+    assert pair.turn(lambda: old.phase == "leaving")
+    pair.turn(lambda: False, late)
+    if late:
+        assert not old.door.succeeded
+        new.says_ready(True)
+    assert pair.turn(lambda: old.phase == "ended", 1_500_000) and old.door.succeeded
