--- a/mastledge/protocol/clients.py
+++ b/mastledge/protocol/clients.py
@@ -10,10 +10,11 @@
 from mastledge.transport.connection import Connection, TimedOut, accept
 from mastledge.transport.loop import ENDED, GONE, READ
 
-WHOLE = 2_000_000  # a request must be whole this long after its first byte, the first one after the connect
+WHOLE = 10_000_000  # a request must be whole this long after its first byte, the first one after the connect
+SILENT = 3_000_000  # nor silent for longer in between: some are written slowly, others never to an end
 SLOW = 5_000_000  # an answer that its client does not read is held for this long
 IDLE = 120_000_000
-YOUNG = 200_000
+YOUNG = 1_000_000
 PATIENCE = 250_000  # after which it may come again where there was no room for it
 FREE = 3  # connections of clients, while leaving: a burst comes before a rejection has freed one
 FEWER = 250_000  # after SIGTERM; from then on new connections go to others
@@ -55,7 +56,7 @@
     def let_go(self):
         """While draining: most have left with an answer; the others are closed where that crosses nothing."""
         gone = self.loop.now() - self.draining
-        for place, since in (("unused", CLOSES), ("clients", CLOSES), ("unfinished", HANGS_UP)):
+        for place, since in (("unused", CLOSES), ("clients", CLOSES), ("begun", HANGS_UP)):
             if gone >= since:
                 self.budget.close_all(place)
 
@@ -104,7 +105,7 @@
         return True
 
     def close_all_idle(self):
-        for place in ("unused", "clients"):
+        for place in ("unused", "unfinished", "clients"):
             self.budget.close_all(place)
 
     def serve(self, conn, beyond):
@@ -117,7 +118,6 @@
                     wait = until if idle == "unused" else loop.now() + IDLE
                     if not (yield (conn.fd, READ, wait)) and conn.quiet():
                         return
-                self.rests("unfinished", conn)
                 try:
                     until = until if idle == "unused" else loop.now() + WHOLE
                     reply = yield from self.one(conn, beyond, until)
@@ -157,9 +157,15 @@
         for kind in CLIENTS:
             self.budget.busy(kind, conn)
         if place is not None:
-            # Half a request of a moment ago may be whole in the next; of long ago, never.
-            young = self.loop.now() + YOUNG if place == "unfinished" else 0
-            self.budget.rest(place, conn, lambda: self.loop.now() >= young and self.close_idle(conn))
+            self.budget.rest(place, conn, lambda: self.close_idle(conn))
+
+    def come(self, conn, pieces):
+        """So many pieces of a request are here, the last one now; called with none while it is awaited."""
+        self.rests("begun", conn)
+        if pieces < 2:
+            # Half a request of a moment ago may be whole in the next; of long ago, hardly ever.
+            young = self.loop.now() + YOUNG
+            self.budget.rest("unfinished", conn, lambda: self.loop.now() >= young and self.close_idle(conn))
 
     def linger(self, conn):
         conn.end_sending()
@@ -172,8 +178,10 @@
 
     def one(self, conn, beyond, until):
         """One request: its answer, or None where the client has gone."""
+        pieces = http.Pieces(until, SILENT, lambda n: self.come(conn, n))
+        pieces.heard(0)
         try:
-            head = yield from http.event(conn, until)
+            head = yield from http.event(conn, pieces)
             if isinstance(head, h11.ConnectionClosed):
                 return None
             size = http.framed(head)
@@ -183,8 +191,8 @@
                 self.count(http.lane(head), REJECTED)
                 return self.no_room
             try:
-                self.rests("unfinished", conn)
-                content = yield from http.body(conn, until)
+                pieces.heard(pieces.count)
+                content = yield from http.body(conn, pieces)
                 return (yield from self.whole(conn, head, content, beyond))
             finally:
                 self.budget.bytes -= size
--- a/mastledge/protocol/http.py
+++ b/mastledge/protocol/http.py
@@ -27,16 +27,33 @@
     return conn
 
 
+class Pieces:
+    """Bounds what comes in pieces, in all and between two of them, and tells of each."""
+
+    __slots__ = ("until", "silent", "heard", "count")
+
+    def __init__(self, until, silent, heard):
+        self.until, self.silent, self.heard, self.count = until, silent, heard, 0
+
+    def came(self):
+        self.count += 1
+        self.heard(self.count)
+
+
 def event(conn, until):
-    """The next event of h11, waiting for bytes as needed."""
-    http = conn.http
+    """The next event of h11, waiting for bytes as needed: until a time, or for one piece after the other."""
+    http, pieces = conn.http, until if isinstance(until, Pieces) else None
     while True:
         got = http.next_event()
         if got is not h11.NEED_DATA:
             return got
+        if pieces is not None:
+            until = min(pieces.until, conn.loop.now() + pieces.silent)
         if http.they_are_waiting_for_100_continue:
             yield from conn.send(http.send(h11.InformationalResponse(status_code=100, headers=[])), until)
         http.receive_data((yield from conn.receive(until)))
+        if pieces is not None:
+            pieces.came()
 
 
 def framed(head):
--- a/mastledge/transport/budget.py
+++ b/mastledge/transport/budget.py
@@ -6,10 +6,11 @@
 SPARE = 16  # standard streams, epoll, wake-up, listener, and a few to answer with when all is full
 OPERATORS = 12  # connections of operators, which clients cannot use up
 HELD = 4  # beside them: their listener and epoll, the files shared with another process
-# Who goes for a new one, in this order: clients that never said all of it before those that had an answer.
-CLIENTS = ("unused", "unfinished", "clients")
+# Who goes for a new one, in this order: who said nothing, who stopped half way, who had an answer, and last
+# what still comes.
+CLIENTS = ("unused", "unfinished", "clients", "begun")
 GIVE_WAY = {"clients": CLIENTS, "workers": ("workers",), "discovery": (), "operators": ()}
-SHORT = ("unused", "unfinished", "workers", "clients")  # where the system itself has none left
+SHORT = ("unused", "unfinished", "workers", "clients", "begun")  # where the system itself has none left
 
 
 class Budget:
@@ -49,7 +50,7 @@
     def hold(self, size):
         """Whether there is memory for so much of a request; those that never become whole go for it."""
         while self.bytes + size > self.most_bytes:
-            if not self.evict("unfinished"):
+            if not self.evict("unfinished", "begun"):
                 return False
         self.bytes += size
         return True
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -6,6 +6,7 @@
 from helpers import HERE, Rig, client, door, job, queue_type
 
 from mastledge.protocol import clients
+from mastledge.transport.budget import CLIENTS
 from mastledge.transport.connection import listen
 
 BIG = b"y" * 70_000
@@ -258,3 +259,53 @@
     made, sock = door(rig), listen((HERE, 0))
     theirs = [socket.create_connection(sock.getsockname(), 2) for _ in range(waiting)]
     assert not made.last_call(sock) and len(made.clients) == len(theirs) == rig.budget.used["clients"]
+
+
+@pytest.mark.parametrize(("gap", "answer"), [(0.06, None), (0.3, b"HTTP/1.1 408 ")])
+def test_a_request_in_pieces_is_read_to_its_end_unless_it_falls_silent(gap, answer, monkeypatch):
+    # All had 2 s from the connect, which cut off jobs that were written in 2 s, with room or without.
+    monkeypatch.setattr(clients, "SILENT", 150_000)
+    rig = Rig()
+    made = door(rig)
+    theirs, raw = client(rig, made), job(body=b"x" * 50)
+    for start in range(0, len(raw), 30):
+        if rig.inbox.items or not made.clients:
+            break
+        theirs.sendall(raw[start:start + 30])
+        rig.turn(lambda: False, int(gap * 1e6))
+    if answer is None:
+        assert rig.turn(lambda: rig.inbox.items)
+    else:
+        assert rig.reply(theirs).startswith(answer) and not rig.inbox.items
+
+
+def test_crowds_give_way_before_clients_and_those_before_what_still_comes(monkeypatch):
+    monkeypatch.setattr(clients, "YOUNG", 100_000)
+    rig = Rig()
+    made = door(rig)
+    slow, half, usual, unused = (client(rig, made) for _ in range(4))
+    slow.sendall(job()[:40])
+    half.sendall(job()[:40])
+    usual.sendall(b"GET /health/live HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert rig.reply(usual).startswith(b"HTTP/1.1 200 ")
+    rig.turn(lambda: False, 120_000)
+    slow.sendall(job()[40:80])
+    rig.turn(lambda: False, 20_000)
+    went = []
+    for _ in range(4):
+        assert rig.budget.evict(*CLIENTS)
+        rig.turn(lambda: False, 5_000)
+        went.append(next(name for name, one in (("unused", unused), ("half", half), ("usual", usual),
+                                                ("slow", slow)) if name not in went and not waits(one)))
+    assert went == ["unused", "half", "usual", "slow"] and not made.clients and not rig.errors
+
+
+def waits(theirs):
+    """Whether its connection is still open."""
+    theirs.setblocking(False)
+    try:
+        return theirs.recv(1) != b""
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
