Run-once jobs wait one more pause where another queue type is set aside

Cause: as soon as the pause of another type was over the run-once job could be the trial (eligible() in balance.py, wait 0).

--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -552,8 +552,8 @@
             # But no connection is no slowness: with a zone cut off, those that are left carry the jobs.
             most = len(self.ready) - 1 if why == CUT_OFF else len(self.ready) / 2
             if aside is not None and self.asides[why] <= most:
-                wait = 2 * LONGEST_PAUSE if once and why in (None, CUT_OFF) else 0
-                if now < aside.back_at + wait or (why in own and len(wkr.out) >= aside.trickle):
+                wait = 2 * LONGEST_PAUSE if why in (None, CUT_OFF) else aside.pause * (why not in own)
+                if now < aside.back_at + wait * once or (why in own and len(wkr.out) >= aside.trickle):
                     return False
         again = len(job.launches) >= len(self.ready)
         if any(launch.wkr is wkr and not (launch.ended and again) for launch in job.launches):
--- a/tests/test_picks.py
+++ b/tests/test_picks.py
@@ -49,10 +49,10 @@
 
 @pytest.mark.parametrize(("effect", "why", "back"), [
     ("restartable", 0, 250_000), ("run-once", 0, 1_000_000), ("restartable", None, 250_000),
-    ("run-once", None, 9_000_000)])
+    ("run-once", None, 9_000_000), ("run-once", 7, 2_000_000)])
 def test_a_run_once_job_is_the_trial_late_but_not_never(effect, why, back):
     # Each trial of a worker that fails a queue type cost such a job; and where only such jobs come, a
-    # worker that was silent once would have stayed out for good.
+    # worker that was silent once would have stayed out for good. Of another type somebody else is the trial.
     made = balancer([queue_type(effect)])
     arrive(made)
     pull(made, 0)
