--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import time
+import tomllib
 
 import orjson
 import pytest
@@ -476,3 +477,26 @@
     assert one.taught() == {} and bool(events) == logged
     one.teach({"s-1": [8.0, 1.0, []]})
     assert one.taught() == {"s-1": [8.0, 1.0, []]}
+
+
+def test_serving_starts_no_other_process(tmp_path, folder):
+    # Where no process may be started or forked, the dispatcher has to serve all the same.
+    listen, control = free(), free()
+    made = started(tmp_path, folder, listen, 1, control)
+    try:
+        assert soon(lambda: asked(control, "/api/ready") == 200)
+        assert all(asked(listen, "/health/ready") == 200 for _ in range(5))
+        with open(f"/proc/{made.pid}/task/{made.pid}/children", encoding="ascii") as children:
+            assert children.read() == ""
+        assert os.listdir(f"/proc/{made.pid}/task") == [str(made.pid)]
+    finally:
+        made.kill()
+        made.wait()
+
+
+def test_the_deploy_file_runs_one_process():
+    with open(os.path.join(os.path.dirname(__file__), "..", "deploy", "balancer.toml"), "rb") as deploy:
+        told = tomllib.load(deploy)
+    assert told["run"].startswith("exec ") and told["sim"].startswith("exec ")
+    root = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+    assert all(os.path.exists(os.path.join(root, path)) for path in (*told["policy"], *told["node"]))
