Jobs that outlast the old process are handed on, with both of their connections

Only what stands between two chunks is passed. Ruled out: a proxy through the old process, launching anew.

--- a/mastledge/program/handover.py
+++ b/mastledge/program/handover.py
@@ -61,6 +61,9 @@
             return
         raise OSError(errno.EADDRINUSE, "two processes serve here already")
 
+    def place(self, name, seat):
+        return f"{self.base}.{name}{seat}"
+
     def file(self, name):
         return os.open(f"{self.base}.{name}", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
 
--- a/mastledge/program/phases.py
+++ b/mastledge/program/phases.py
@@ -10,6 +10,7 @@
 from mastledge.balance import Balancer
 from mastledge.program.handover import Handover
 from mastledge.program.operators import Operators
+from mastledge.program.relay import Relay
 from mastledge.protocol.clients import Door
 from mastledge.protocol.control import Control
 from mastledge.protocol.discovery import BadList, Discovery
@@ -29,6 +30,7 @@
 LOOK = 20_000
 TRIES = 100
 HANDED_OVER, LET_GO = 200_000, 1_000_000  # with a successor: no new connections, then no idle ones
+HANDS_ON = 500_000  # before its end a process hands on what still runs
 HANDING = 1 / 8  # of the cold budget, for what is launched again by the process that hands over
 TEACH = 1_000_000  # between two times that what was learned is left for a process that takes over
 WATCH, BESIDE = 100_000, 20_000  # between two looks at what another process may have changed
@@ -73,6 +75,7 @@
         self.door = Door(loop, self.budget, inbox, words, log)
         balancer = Balancer(handed(settings), told["seed"], loop.now())
         self.router = Router(loop, inbox, balancer, self.workers, self.discovery, log)
+        self.relay = Relay(loop, self.budget, self.door, settings, log)
         self.following = settings["follow"] == "pushed"
         self.signalled, self.controlling, self.accepting, self.beside = False, None, None, False
         self.taken, self.holds, self.part = None, None, 1.0
@@ -114,6 +117,8 @@
             self.controlling.listen(64)
             self.loop.spawn(self.control.listen(self.controlling), first=True)
             self.loop.spawn(self.vital(self.watch()), first=True)
+        if self.handover.base is not None:
+            self.loop.spawn(self.relay.listen(self.handover.place("jobs", self.handover.seat)))
         self.inbox.reader = self.loop.spawn(self.vital(self.router.run()))
         self.life = self.loop.spawn(self.vital(self.phases()))
 
@@ -333,8 +338,11 @@
         while door.clients and loop.now() < last:
             if loop.now() >= idle_from:
                 door.close_all_idle()
+            if door.succeeded and loop.now() >= last - HANDS_ON and self.handover.other_ready():
+                self.relay.hand_on(router, self.handover.place("jobs", 1 - self.handover.seat))
             yield (-1, 0, loop.now() + LOOK)
         self.inbox.put("over")
+        self.relay.over()
         while door.clients and loop.now() < last + LAST // 5:
             door.close_all_idle()
             yield (-1, 0, loop.now() + LOOK // 4)
--- a/mastledge/protocol/clients.py
+++ b/mastledge/protocol/clients.py
@@ -225,7 +225,7 @@
         self.in_hand += 1
         self.names.add(exchange.name)
         self.known.append((exchange.until, exchange.name))
-        exchange.answer = lambda *answer: self.loop.wake(conn.owner, answer)
+        exchange.conn, exchange.answer = conn, lambda *answer: self.loop.wake(conn.owner, answer)
         try:
             self.inbox.put("arrived", exchange, *told)
             reply = yield from self.outcome(conn, exchange)
@@ -238,6 +238,28 @@
                 exchange.open = False
                 self.inbox.put("abandoned", exchange)
 
+    def resumed(self, conn, exchange):
+        """Goes on with a client whose job another process has handed on, up to its answer."""
+        self.in_hand += 1
+        self.clients.add(conn)
+        self.names.add(exchange.name)
+        self.known.append((exchange.until, exchange.name))
+        try:
+            try:
+                reply = yield from self.outcome(conn, exchange)
+            finally:
+                self.in_hand -= 1
+                exchange.open = False
+            if reply is not None:
+                self.count(exchange.kind, reply[0])
+                yield from conn.send(http.answer(conn, *reply, True), self.loop.now() + SLOW)
+                yield from self.linger(conn)
+        except (OSError, TimedOut):
+            return
+        finally:
+            self.clients.discard(conn)
+            conn.close()
+
     def new(self, exchange):
         """Whether no job of this id was taken in the time that its client can wait for it."""
         known, now = self.known, self.loop.now()
--- a/mastledge/protocol/http.py
+++ b/mastledge/protocol/http.py
@@ -115,6 +115,7 @@
             raise TooLarge
         got = yield from event(conn, until)
         if isinstance(got, h11.Data):
+            conn.whole = got.chunk_end
             conn.buffer.keep(got.data)
 
 
@@ -135,6 +136,17 @@
     return head + (send(h11.Data(data=content)) if content else b"") + send(h11.EndOfMessage())
 
 
+def resume(client, worker, headed):
+    """Parsers for connections taken over: a whole request behind the one, an answer to come on the other."""
+    client.http.receive_data(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+    while not isinstance(client.http.next_event(), h11.EndOfMessage):
+        pass
+    request(worker, b"POST", b"/", [(b"host", b"h")])
+    if headed:
+        worker.http.receive_data(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        worker.http.next_event()
+
+
 def answer(conn, status, headers, content, last):
     """The bytes of a whole answer; `last` tells the other side that the connection ends with it."""
     headers = [*headers, (b"content-length", b"%d" % len(content))]
--- a/mastledge/protocol/requests.py
+++ b/mastledge/protocol/requests.py
@@ -22,10 +22,11 @@
     """One job's request, to be passed on as it came, and the way back to its client."""
 
     __slots__ = ("answer", "name", "kind", "method", "target", "headers", "body", "until", "open", "job",
-                 "once")
+                 "once", "conn")
 
     def __init__(self):
         self.answer, self.open, self.job, self.once = None, True, None, False
+        self.conn = None
 
     def completed(self, result):
         self.finish(COMPLETED, [(b"content-type", b"application/octet-stream")], result)
--- a/mastledge/protocol/workers.py
+++ b/mastledge/protocol/workers.py
@@ -65,7 +65,7 @@
             conn.close()
             return
         conn.buffer.clear()
-        conn.owner, conn.stood = peer, True
+        conn.owner, conn.stood, conn.whole = peer, True, True
         task = self.loop.spawn(self.watch(peer, conn, self.loop.now() + self.keep))
         peer.idle.append((conn, task))
         self.budget.rest("workers", conn, lambda: self.dropped(peer, conn))
@@ -102,6 +102,7 @@
         try:
             conn, how = yield from self.sent(peer, launch, exchange, until)
             if conn is not None:
+                launch.conn = conn
                 try:
                     how, result, report = yield from self.outcome(conn, launch, until)
                     whole = how in ("completed", "error", "full")
@@ -185,21 +186,24 @@
 
     def outcome(self, conn, launch, until):
         """How the launch ended, its result and the load report that came with it."""
-        while True:
+        report = ()
+        while not launch.headed:
             try:
                 head = yield from http.head(conn, min(until, self.loop.now() + self.patience))
-                break
             except TimedOut:
                 # A worker tells at once that it has taken a job, also where that has to wait there.
                 if self.loop.now() >= until:
                     raise
                 self.inbox.put("silent", launch)
-        self.held(conn, True)
-        fields = dict(head.headers)
-        report = self.report(fields.get(b"x-pressure", b""))
-        if head.status_code != 200:
-            unseen = head.status_code in (503, 504) and fields.get(b"x-turned-away") == b"1"
-            return "full" if unseen else "error", None, report
+                continue
+            self.held(conn, True)
+            fields, launch.headed = dict(head.headers), True
+            # Only between two chunks it is known from outside how far the parser is.
+            conn.whole = fields.get(b"transfer-encoding") == b"chunked"
+            report = self.report(fields.get(b"x-pressure", b""))
+            if head.status_code != 200:
+                unseen = head.status_code in (503, 504) and fields.get(b"x-turned-away") == b"1"
+                return "full" if unseen else "error", None, report
         job_id = launch.name
         while True:
             line = yield from http.lines(conn, until)
--- a/mastledge/routing/router.py
+++ b/mastledge/routing/router.py
@@ -15,11 +15,13 @@
 class Launch:
     """What a launch is to the host; the decisions name it by its job and its number among that job's."""
 
-    __slots__ = ("job", "n", "peer", "task", "name", "sent", "at", "began", "ended")
+    __slots__ = ("job", "n", "peer", "task", "name", "sent", "at", "began", "ended", "conn",
+                 "headed")
 
     def __init__(self, job, peer, name, now):
         self.job, self.n, self.peer, self.name, self.at = job, len(job.launches), peer, name, now
         self.task, self.sent, self.began, self.ended = None, False, None, False
+        self.conn, self.headed = None, False
 
 
 class Router:
@@ -28,7 +30,8 @@
         self.workers, self.discovery, self.log = workers, discovery, log
         self.jobs, self.peers, self.count, self.faults = {}, {}, 0, 0
         self.out = frozenset()
-        self.totals = {"completed": 0, "rejected": 0, "killed": 0, "abandoned": 0}
+        self.totals = {"completed": 0, "rejected": 0, "killed": 0, "abandoned": 0,
+                       "handed_on": 0}
 
     def run(self):
         inbox = self.inbox
@@ -152,6 +155,14 @@
                 self.balancer.abandoned(now, job.id)
                 self.closed(now, job, "killed")
 
+    def handed_on(self, now, job, launch):
+        """Another process goes on with it, and with its connections."""
+        launch.ended, job.exchange.open = True, False
+        job.out -= 1
+        self.loop.cancel(launch.task)
+        self.balancer.abandoned(now, job.id)
+        self.closed(now, job, "handed_on")
+
     # Decisions
 
     def pull(self, now):
--- a/mastledge/transport/buffer.py
+++ b/mastledge/transport/buffer.py
@@ -44,6 +44,9 @@
         self.start = self.seen = at + 1
         return line
 
+    def peek(self):
+        return bytes(self.data[self.start:self.end])
+
     def take(self):
         whole = bytes(self.data[self.start:self.end])
         self.clear()
--- a/mastledge/transport/connection.py
+++ b/mastledge/transport/connection.py
@@ -26,13 +26,15 @@
 
 
 class Connection:
-    __slots__ = ("loop", "sock", "fd", "budget", "kind", "buffer", "left", "http", "owner", "stood", "turn")
+    __slots__ = ("loop", "sock", "fd", "budget", "kind", "buffer", "left", "http", "owner", "stood", "turn",
+                 "whole")
 
     def __init__(self, loop, sock, budget, kind):
         """Takes over a socket for which the budget has been asked."""
         self.loop, self.sock, self.fd = loop, sock, sock.fileno()
         self.budget, self.kind, self.buffer, self.left = budget, kind, Buffer(), 0
         self.turn = -1  # of the loop, in which it was read last
+        self.whole = True  # what has come of an answer ends with a whole chunk
         self.stood = False  # idle, and nothing has come on it since
         self.http = self.owner = None  # the parser and the holder, for the layers above
         sock.setblocking(False)
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -17,7 +17,7 @@
 
 
 class Launch:
-    name, sent = "9b1f", False
+    name, sent, conn, headed = "9b1f", False, None, False
 
 
 def line(state, job_id="9b1f", **more):
