The room seen on workers is handed on: the cold budget is not that of one slot

Tests: addresses that were given are not given again; one in some hundred runs had listen and control the same.

--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -446,14 +446,15 @@
 
     def learned(self):
         """What a process that takes over starts from, in plain values and by the text of ids."""
-        return {str(wkr.id): [wkr.slots, wkr.slow, [[why, vars(aside)] for why, aside in wkr.aside.items()]]
-                for wkr in self.ready}
+        return {str(wkr.id): [wkr.slots, wkr.peak, wkr.slow,
+                              [[why, vars(aside)] for why, aside in wkr.aside.items()]] for wkr in self.ready}
 
     def inherited(self, now, told):
         for wkr in self.ready:
-            wkr.slots, wkr.slow, asides = told.get(str(wkr.id), (wkr.slots, wkr.slow, ()))
+            known = told.get(str(wkr.id), (wkr.slots, wkr.peak, wkr.slow, ()))
+            wkr.slots, wkr.peak, wkr.slow, asides = known
             wkr.aside = {why: SimpleNamespace(**aside) for why, aside in asides}
-        self.count_asides()
+        self.survey()
 
     def skipped(self, now):
         """How many workers of the list get nothing now."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -17,11 +17,18 @@
 from mastledge.transport.connection import listen
 
 
+GIVEN = set()
+
+
 def free():
-    sock = listen((HERE, 0))
-    port = sock.getsockname()[1]
-    sock.close()
-    return f"{HERE}:{port}"
+    """An address that nobody listens at, each time another: the system may give a port again at once."""
+    while True:
+        sock = listen((HERE, 0))
+        port = sock.getsockname()[1]
+        sock.close()
+        if port not in GIVEN:
+            GIVEN.add(port)
+            return f"{HERE}:{port}"
 
 
 class Served:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -447,10 +447,13 @@
     arrive(old, 0)
     ((_, job_id, wkr_id, _),) = pull(old, 0)
     old.ended(1_000, job_id, 0, "error", 1_000, False, ())
-    old.workers[wkr_id].slots, old.workers[wkr_id].slow = 3.5, 2.0
-    new.inherited(2_000, {**orjson.loads(orjson.dumps(old.learned())), "nobody": [1.0, 1.0, []]})
+    old.workers[wkr_id].slots, old.workers[wkr_id].peak, old.workers[wkr_id].slow = 3.5, 3.0, 2.0
+    new.inherited(2_000, {**orjson.loads(orjson.dumps(old.learned())), "nobody": [1.0, 1.0, 1.0, []]})
     worker = new.workers[wkr_id]
-    assert (worker.slots, worker.slow, list(worker.aside)) == (3.5, 2.0, [0])
+    assert (worker.slots, worker.peak, worker.slow, list(worker.aside)) == (3.5, 3.0, 2.0, [0])
+    # Without the room that was seen each worker counted as one of a single slot, and cold ones got little.
+    old.survey()
+    assert new.capacity == old.capacity > balancer(workers=3).capacity
     assert vars(worker.aside[0]) == vars(old.workers[wkr_id].aside[0]) and new.asides == old.asides
     assert new.skipped(2_000) == 1
 
