An inlet or connections that cannot be taken over are logged and passed over

Need: a folder with a long path ended the listening for handed jobs with a fault, and one bad connection all of it (relay.py, listen and take_up).

--- a/mastledge/program/phases.py
+++ b/mastledge/program/phases.py
@@ -187,6 +187,7 @@
         self.walltime = max(self.walltime, *(qt["walltime"] for qt in settings["queue_types"]))
         self.door.configure(words)
         self.workers.configure(settings)
+        self.relay.workers.configure(settings)
         self.inbox.put("configured", settings)
         if settings["follow"] == "pushed":
             self.discovery.follow()
--- a/mastledge/program/relay.py
+++ b/mastledge/program/relay.py
@@ -67,7 +67,12 @@
     # In the process that goes on
 
     def listen(self, path):
-        self.sock = passing.inlet(path)
+        try:
+            self.sock = passing.inlet(path)
+        except OSError as error:
+            # A folder whose path is too long for it, say: what outlasts the old process is killed with it.
+            self.log("relay_off", why=str(error))
+            return
         while True:
             yield (self.sock.fileno(), READ, None)
             for _ in range(A_TURN):
@@ -88,10 +93,14 @@
                 one.close()
             return
         ends = []
-        for one, kind, role in zip(socks, ("clients", "workers"), (h11.SERVER, h11.CLIENT), strict=True):
-            # Beyond the budget for a moment, but the process that hands them on closes its own at once.
-            self.budget.used[kind] += 1
-            ends.append(http.attach(Connection(self.loop, one, self.budget, kind), role))
+        try:
+            for one, kind, role in zip(socks, ("clients", "workers"), (h11.SERVER, h11.CLIENT), strict=True):
+                ends.append(self.attached(one, kind, role))
+        except OSError as error:
+            self.log("not_taken_up", why=str(error))
+            for one in (*ends, *socks):
+                one.close()
+            return
         client, launch.conn = ends
         launch.headed = headed
         http.resume(client, launch.conn, headed)
@@ -103,6 +112,12 @@
         exchange.job = task
         self.log("taken_up", job=exchange.name)
 
+    def attached(self, sock, kind, role):
+        # Beyond the budget for a moment, but the process that hands it on closes its own at once.
+        conn = http.attach(Connection(self.loop, sock, self.budget, kind), role)
+        self.budget.used[kind] += 1
+        return conn
+
     def carried(self, launch, exchange):
         conn = launch.conn
         try:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -16,7 +16,6 @@
 from mastledge.protocol import clients, control
 from mastledge.transport.connection import listen
 
-
 GIVEN = set()
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -168,3 +168,25 @@
     assert 0 < taken == count
     for one in (inlet, *pair):
         one.close()
+
+
+def test_a_folder_that_cannot_hold_the_inlet_turns_handing_on_off(handing, tmp_path):
+    relay = handing.new.made.relay
+    task = handing.new.made.loop.spawn(relay.listen(str(tmp_path / ("x" * 200))))
+    assert handing.turn(lambda: task.ended) and handing.logged(handing.new, "relay_off")
+    assert not handing.new.rig.errors
+
+
+def test_connections_that_cannot_be_taken_over_are_closed_and_the_next_are_taken(handing, monkeypatch):
+    new, ours = handing.new.made, socket.socketpair()
+    monkeypatch.setattr(new.relay, "attached", lambda *one: (_ for _ in ()).throw(OSError("reset")))
+    raw = b'{"name":"x","kind":"render","until":9000000000000,"headed":true,"rest":""}'
+    before = dict(new.budget.used)
+    passing.put(new.handover.place("jobs", new.handover.seat), raw, ours)
+    assert handing.turn(lambda: handing.logged(handing.new, "not_taken_up"))
+    monkeypatch.undo()
+    passing.put(new.handover.place("jobs", new.handover.seat), b"{}", ours)
+    assert handing.turn(lambda: len(handing.logged(handing.new, "not_taken_up")) == 2)
+    assert new.budget.used == before and not handing.new.rig.errors
+    for one in ours:
+        one.close()
