--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -290,3 +290,12 @@
     assert 0 < most <= clients.ACCEPTS
 
 
+
+
+def test_a_new_configuration_during_a_drain_leaves_it_a_drain(served):
+    served.call("/api/evacuate", "POST")
+    served.made.reconfigure()
+    assert served.turn(lambda: served.made.phase == DRAINING)
+    assert [what for what, _ in served.rig.logged if what.startswith("config")] == ["configuration"]
+    assert served.call("/api/ready")[0] == 503 and served.call("/api/rejoin", "POST")[0] == 200
+    assert served.health() == 200
