--- a/mastledge/adapter/__main__.py
+++ b/mastledge/adapter/__main__.py
@@ -100,7 +100,8 @@
         while (decision := decide(now)) is not None:
             what = decision[0]
             if what == "launch":
-                add(wire.PASS_ON(1, instance, decision[1], decision[2], decision[3] / 1000))
+                # Sent at once there, so in the time by which it has to be; 0: no time-out of its own.
+                add(wire.PASS_ON(1, instance, decision[1], decision[2], 0))
             elif what == "reject":
                 add(wire.BOUNCE(2, instance, decision[1], decision[2] / 1000))
             elif what == "kill":
--- a/mastledge/balance.py
+++ b/mastledge/balance.py
@@ -17,7 +17,7 @@
 WAITS = 9  # last starts whose waits tell overload
 PRESSING = 4_000_000  # over this time a full queue becomes rejections
 FIRST_SLOTS = 8.0  # the design's start where no worker has shown its slots
-NEVER_RAN = ("full", "unreachable", "unsent")
+NEVER_RAN, TURNED_AWAY = ("full", "unreachable", "unsent"), ("full", "doubted")
 CUT_OFF = -1  # why a worker that takes no connection is set aside; None: lost or silent; else a queue type
 KEYS_KEPT = 4096
 PART = 6  # workers that a dispatcher of little traffic keeps to
@@ -268,9 +268,9 @@
         job.out -= 1
         if launch.entry is not None:
             self.off(launch)
-            if how == "full" or not launch.began and how in ("revoked", "timeout"):
+            if how in TURNED_AWAY or not launch.began and how in ("revoked", "timeout"):
                 # What never started waited longest, and would be missing where most is moved or refused.
-                self.waits.append((self.slack if how == "full" else now - launch.sent, now))
+                self.waits.append((self.slack if how in TURNED_AWAY else now - launch.sent, now))
         if how not in ("timeout", "revoked", "unsent", "dropped"):
             self.judge(now, launch, how, lag)
         if report and self.settings["report_how"] == "piggyback":
@@ -360,9 +360,9 @@
             if wkr.aside:
                 self.goes_well(wkr, launch)
             return
-        if how in ("error", "full"):
+        if how in ("error", *TURNED_AWAY):
             wkr.heard = now
-        if how == "full":
+        if how in TURNED_AWAY:
             wkr.extra, wkr.extra_at = 2 * wkr.slots, now
         # A release may fail one queue type alone, and quickly, which makes its curve look empty.
         self.set_aside(wkr, {"unreachable": CUT_OFF, "lost": None}.get(how, qt["name"]), launch, now)
@@ -530,7 +530,7 @@
             return self.give_up(job, wait)
         if job.out:
             self.spare -= 1
-        return self.launch(job, best, now)
+        return self.launch(job, best, now, until)
 
     def give_up(self, job, hold_off):
         """A rejection says that trying again is harmless; where that is not known the job is killed."""
@@ -749,7 +749,7 @@
         self.interval = wait if settings["may_message"] and 0 < others and wait <= RAREST else 0
         self.rate, self.done = rate, max(self.done * 0.99, self.work / self.seconds / 1e6)
 
-    def launch(self, job, wkr, now):
+    def launch(self, job, wkr, now, until=None):
         launch = Launch()
         launch.job, launch.wkr, launch.n, launch.sent = job, wkr, len(job.launches), now
         launch.load, launch.mean, launch.began, launch.heard = job.load, job.mean, 0, now
@@ -782,7 +782,7 @@
             part = 2 if self.settings["parallel"] else 3
             end = now + int(max(3 * (wkr.quick or 0) + 4 * self.settings["step"], slack / part))
         self.remind(end, launch)
-        return ("launch", job.id, wkr.id, 0)
+        return ("launch", job.id, wkr.id, 0 if until is None else until - now)
 
     def check(self, launch, now):
         """A launch past its estimated end: is its worker silent or slow, and may the job go elsewhere?"""
--- a/mastledge/lab/emulator.py
+++ b/mastledge/lab/emulator.py
@@ -53,7 +53,7 @@
 
 
 class Launch:
-    __slots__ = ("job", "n", "wkr", "at", "sent", "began", "ended", "life", "dead", "state")
+    __slots__ = ("job", "n", "wkr", "at", "sent", "began", "ended", "life", "dead", "state", "send_by")
 
 
 class Worker:
@@ -457,12 +457,13 @@
         self.wake_at = None
         self.pull()
 
-    def do_launch(self, now, n, worker, allowance):
+    def do_launch(self, now, n, worker, within):
         world, job = self.world, self.jobs[n]
         launch = Launch()
         launch.job, launch.n, launch.wkr = job, len(job.launches), world.workers[worker]
         launch.at, launch.sent, launch.began, launch.ended, launch.life = now, False, 0, False, self.life
         launch.dead, launch.state = launch.wkr.born, ""
+        launch.send_by = min(job.until, now + within) if within else job.until
         job.launches.append(launch)
         world.at(world.link(), self.write, launch)
         world.at(max(1, job.until - now), self.hear, launch, "timeout")
@@ -474,7 +475,7 @@
         if self.frozen(self.write, launch):
             return
         world = self.world
-        if not self.may_act() or launch.wkr.name in self.out or world.now >= launch.job.until:
+        if not self.may_act() or launch.wkr.name in self.out or world.now >= launch.send_by:
             self.hear(launch, "unsent")
             return
         if launch.wkr.state == "gone":
--- a/mastledge/protocol/clients.py
+++ b/mastledge/protocol/clients.py
@@ -144,6 +144,12 @@
                     if conn.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
                         return
                     reply = 413 if error.error_status_hint == 431 else 400, [], str(error).encode()
+                except (OSError, TimedOut):
+                    return
+                except Exception as error:
+                    # Who is closed on with no answer sends again, while what is out for it may run.
+                    self.log("fault", call="serve", why=f"{type(error).__name__}: {error}")
+                    reply = KILLED, [], b""
                 else:
                     idle = "clients"
                 self.rests("unused" if idle == "unused" else None, conn)
--- a/mastledge/protocol/workers.py
+++ b/mastledge/protocol/workers.py
@@ -109,7 +109,10 @@
     # Launches
 
     def launch(self, peer, launch, exchange, until):
-        """Runs a launch, of which it uses `name` and `sent`; tells what is heard of it, and one `ended`."""
+        """Runs a launch, of which it uses `name`, `sent` and `send_by`, the last time for its last byte.
+
+        Tells what is heard of it, and one `ended`.
+        """
         conn = result = None
         report, whole, life = (), False, peer.life()
         try:
@@ -117,7 +120,14 @@
             if conn is not None:
                 launch.conn = conn
                 try:
+                    stood = conn.stood
                     how, result, report = yield from self.outcome(conn, launch, until)
+                    if how in ("turned away", "returned"):
+                        named = how == "returned"
+                        proof = (named or not stood) and (yield from self.ended_alone(conn, named, until))
+                        how = "full" if proof else "doubted"
+                        if not proof:
+                            self.log("doubted", worker=peer.id, kept=stood)
                     whole = how in ("completed", "error", "full")
                 except TimedOut:
                     how = "timeout"
@@ -143,10 +153,10 @@
     def sent(self, peer, launch, exchange, until):
         """The connection on which the whole request was written, or None and how the launch ended."""
         loop, conn, done, life = self.loop, self.taken(peer, exchange.once), False, peer.life()
-        fresh = conn is None
+        fresh, send_by = conn is None, launch.send_by
         try:
             if fresh:
-                before = min(until, loop.now() + self.connect_timeout)
+                before = min(send_by, loop.now() + self.connect_timeout)
                 conn = yield from connect(loop, self.budget, "workers", peer.address, before)
                 http.attach(conn, h11.CLIENT)
             left = max(1, (until - loop.now()) // 1000)
@@ -159,11 +169,11 @@
                 raise Withheld
             if exchange.once:
                 # No worker begins before the last byte, and what broke before it may be launched again.
-                yield from self.sent_lawfully(conn, peer, content[:-1], until, exchange)
+                yield from self.sent_lawfully(conn, peer, content[:-1], send_by, exchange)
                 if not (yield from conn.alive(REFUSED)):
                     raise OSError("broke before the last byte")
                 content = content[-1:]
-            yield from self.sent_lawfully(conn, peer, content, until, exchange)
+            yield from self.sent_lawfully(conn, peer, content, send_by, exchange)
             launch.sent = done = True
             self.tries += 1
             return conn, None
@@ -180,9 +190,9 @@
             # Not all of it was written, so it cannot have run. That a connection which stood idle breaks,
             # or that the job's time was too short to connect, says nothing of the worker.
             self.log("not_sent", worker=peer.id, why=str(error) or "timed out")
-            if conn is not None and loop.now() < until:
+            if conn is not None and loop.now() < send_by:
                 self.held(conn, False)
-            if not fresh or loop.now() >= until:
+            if not fresh or loop.now() >= send_by:
                 return None, "unsent"
             # What stands idle to a machine that takes no connection would only swallow the next launch.
             self.hang_up(peer)
@@ -223,9 +233,27 @@
         except (OSError, TimedOut, h11.RemoteProtocolError):
             return False
 
+    def ended_alone(self, conn, named, until):
+        """Whether an answer is whole and the only one: else it is no proof that its job never ran."""
+        until = min(until, self.loop.now() + TAIL)
+        try:
+            if conn.buffer.peek().strip():
+                return False
+            while conn.http.their_state is h11.SEND_BODY:
+                got = yield from http.event(conn, until)
+                if named and isinstance(got, h11.Data) and got.data.strip():
+                    return False
+            return conn.http.trailing_data[0] == b""
+        except (OSError, TimedOut, h11.RemoteProtocolError):
+            return False
+
     def outcome(self, conn, launch, until):
-        """How the launch ended, its result and the load report that came with it."""
-        report = ()
+        """How the launch ended, its result and the load report that came with it.
+
+        A head names no job: on a connection that has carried another one it may be a second answer to that,
+        come late, while this launch runs. A line names its job.
+        """
+        report, begun = (), False
         while not launch.headed:
             try:
                 head = yield from http.head(conn, min(until, self.loop.now() + self.patience))
@@ -241,8 +269,9 @@
             conn.whole = fields.get(b"transfer-encoding") == b"chunked"
             report = self.report(fields.get(b"x-pressure", b""))
             if head.status_code != 200:
-                unseen = head.status_code in (503, 504) and fields.get(b"x-turned-away") == b"1"
-                return "full" if unseen else "error", None, report
+                says = [value for name, value in head.headers if name == b"x-turned-away"]
+                unseen = head.status_code in (503, 504) and says == [b"1"]
+                return "turned away" if unseen else "error", None, report
         job_id = launch.name
         while True:
             line = yield from http.lines(conn, until)
@@ -254,6 +283,9 @@
             state = told.get("state")
             if told.get("id") != job_id:
                 raise ValueError(f"news of another job: {line[:80]!r}")
+            if state == "returned" and begun:
+                raise ValueError("returned unstarted, behind its start")
+            begun = begun or state in ("started", "running")
             if state == "started":
                 self.inbox.put("started", launch)
             elif state == "running":
@@ -266,7 +298,7 @@
                     raise ValueError(f"no result: {line[:80]!r}")
                 return "completed", result.encode(), self.loaded(told, report)
             elif state in ("failed", "returned", "lost"):
-                how = {"failed": "error", "returned": "full", "lost": "lost"}[state]
+                how = {"failed": "error", "returned": "returned", "lost": "lost"}[state]
                 return how, None, self.loaded(told, report)
             else:
                 raise ValueError(f"unknown state: {line[:80]!r}")
--- a/mastledge/routing/router.py
+++ b/mastledge/routing/router.py
@@ -18,10 +18,11 @@
     """What a launch is to the host; the decisions name it by its job and its number among that job's."""
 
     __slots__ = ("job", "n", "peer", "task", "name", "sent", "at", "began", "ended", "conn",
-                 "headed")
+                 "headed", "send_by")
 
     def __init__(self, job, peer, name, now):
         self.job, self.n, self.peer, self.name, self.at = job, len(job.launches), peer, name, now
+        self.send_by = job.exchange.until
         self.task, self.sent, self.began, self.ended = None, False, None, False
         self.conn, self.headed = None, False
 
@@ -204,7 +205,7 @@
             what, *fields = decision
             getattr(self, "do_" + what)(now, *fields)
 
-    def do_launch(self, now, job_id, peer, allowance):
+    def do_launch(self, now, job_id, peer, within):
         job = self.jobs[job_id]
         if self.rule is not None and not self.rule.may_act(now):
             # It was decided by rules that may no longer hold. Nothing of it is sent, as the decisions hear at
@@ -220,8 +221,8 @@
         launch = Launch(job, peer, name, now)
         job.launches.append(launch)
         job.out += 1
-        until = min(job.exchange.until, now + allowance) if allowance else job.exchange.until
-        launch.task = self.loop.spawn(self.carried_out(launch, until))
+        launch.send_by = min(job.exchange.until, now + within) if within else job.exchange.until
+        launch.task = self.loop.spawn(self.carried_out(launch, job.exchange.until))
 
     def carried_out(self, launch, until):
         try:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -24,8 +24,8 @@
 EFFECTS = {"restartable": "pure", "run-once": "side_effect", "deduplicated": "token"}
 
 
-def settings(effect="restartable", **limits):
-    one = {**GOOD["settings"]["queueTypes"][0], "idempotency": EFFECTS[effect], "windowMs": 4000.0,
+def settings(effect="restartable", window=4000.0, **limits):
+    one = {**GOOD["settings"]["queueTypes"][0], "idempotency": EFFECTS[effect], "windowMs": window,
            "dedupScope": "zone", "targetTurnaroundMs": 3000.0}  # so long a job waits for a worker
     limits = {**GOOD["settings"]["limits"], **limits}
     return {**GOOD["settings"], "balancers": 4, "limits": limits, "queueTypes": [one]}
@@ -34,8 +34,8 @@
 class Serving(Served):
     """A program in this thread's loop; its peers are steered by the test."""
 
-    def __init__(self, path, effect="restartable", limits=None, **changed):
-        super().__init__(path, settings=settings(effect, **limits or {}), **changed)
+    def __init__(self, path, effect="restartable", limits=None, window=4000.0, **changed):
+        super().__init__(path, settings=settings(effect, window, **limits or {}), **changed)
         self.generation = 1
 
     def asked(self, txn="a1", **headers):
@@ -51,12 +51,12 @@
     def job(self, txn):
         return next((job for job in self.made.router.jobs.values() if job.exchange.name == txn), None)
 
-    def lists(self, state="ready", started=0, sock=None, name="s-1", reset=True):
+    def lists(self, state="ready", started=0, sock=None, name="s-1", reset=True, zone="z"):
         """As discovery tells it."""
         self.generation += 1
         at = f"{HERE}:{(sock or self.sock).getsockname()[1]}"
         self.made.discovery.apply({"generation": self.generation, "reset": reset, "instances": [{
-            "instanceId": name, "hostPort": at, "zone": "z", "machineType": "k", "cell": 0,
+            "instanceId": name, "hostPort": at, "zone": zone, "machineType": "k", "cell": 0,
             "lifecycle": state, "weight": 1.0, "startedAtMs": started}]})
 
     def only(self, txn):
@@ -893,3 +893,132 @@
     made.taken("a2")  # no turn of the loop has told of the end
     made.only("a2")
     assert made.made.router.totals["killed"] == 0
+
+
+# What proves that a launch never ran
+
+TURNED_AWAY = b"HTTP/1.1 503 X\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+def carries(made):
+    """A worker's connection that has carried a job and its answer, and is kept."""
+    client = made.taken("a0", Idempotency_Key="k0")
+    theirs, _ = made.rig.called(made.sock)
+    assert made.turn(lambda: made.job("a0").launches[-1].sent)
+    answers(theirs, b"a0")
+    assert made.rig.reply(client).endswith(b"r")
+    assert made.turn(lambda: made.made.router.peers["s-1"].idle)
+    return theirs
+
+
+def beside(made, zone="z"):
+    """One more worker, known to the decisions."""
+    other = peer_at("s-2")[1]
+    made.lists(name="s-2", sock=other, reset=False, zone=zone)
+    assert made.turn(lambda: "s-2" in made.made.router.peers)
+    made.theirs.append(other)
+    return other
+
+
+def goes_to(made, other, client):
+    there, request = made.rig.called(other)
+    assert b"a1" in request and made.turn(lambda: made.job("a1").launches[-1].sent)
+    answers(there, b"a1")
+    assert made.rig.reply(client).endswith(b"r")
+
+
+def goes_nowhere(made, other, client):
+    """It may have run, and the other worker would run it again."""
+    assert made.turn(lambda: made.job("a1") is None or made.job("a1").out == 0)
+    made.jumps(4)
+    assert b" 500 " in made.rig.reply(client)
+    assert not select.select([other], [], [], 0)[0]
+
+
+@pytest.mark.parametrize(("effect", "kept", "ends"), [
+    ("run-once", True, goes_nowhere), ("run-once", False, goes_to), ("deduplicated", True, goes_nowhere),
+    ("deduplicated", False, goes_to), ("restartable", True, goes_to)])
+def test_a_second_answer_that_turns_away_does_not_prove_that_the_next_never_ran(effect, kept, ends, serving):
+    # It was taken for the answer to the next launch on that connection, which ran, and was launched again.
+    made = serving(effect).serving()
+    theirs = carries(made) if kept else None
+    client = made.taken("a1", Idempotency_Key="k1")
+    if not kept:
+        theirs, _ = made.rig.called(made.sock)
+    assert made.turn(lambda: made.job("a1").launches[0].sent)
+    other = beside(made, "elsewhere")
+    theirs.sendall(TURNED_AWAY)
+    ends(made, other, client)
+
+
+def told(*states):
+    return b"".join(b'{"id":"a1","state":"%s"}\n' % state for state in states)
+
+
+LAST = b"0\r\n\r\n"
+SPOILT = {
+    "cut off": TURNED_AWAY.replace(b": 0", b": 9") + b"busy",
+    "endless": CHUNKED.replace(b"200 OK", b"503 X\r\nX-Turned-Away: 1") + chunk(b"busy"),
+    "no chunk": CHUNKED.replace(b"200 OK", b"503 X\r\nX-Turned-Away: 1") + b"zz\r\n",
+    "said twice": TURNED_AWAY.replace(b"X-Turned", b"X-Turned-Away: 0\r\nX-Turned"),
+    "two answers": 2 * TURNED_AWAY,
+    "behind its start": CHUNKED + chunk(told(b"started")) + chunk(told(b"returned")) + LAST,
+    "taken back": CHUNKED + chunk(told(b"returned", b"started")) + LAST,
+    "taken back later": CHUNKED + chunk(told(b"returned")) + chunk(told(b"started")) + LAST,
+    "never ended": CHUNKED + chunk(told(b"returned")),
+}
+
+
+@pytest.mark.parametrize("effect", ["run-once", "deduplicated"])
+@pytest.mark.parametrize("spoilt", SPOILT)
+def test_a_spoilt_answer_does_not_prove_that_its_job_never_ran(spoilt, effect, serving):
+    made = serving(effect).serving()
+    client = made.taken("a1", Idempotency_Key="k1")
+    theirs, _ = made.rig.called(made.sock)
+    assert made.turn(lambda: made.job("a1").launches[0].sent)
+    other = beside(made, "elsewhere")
+    theirs.sendall(SPOILT[spoilt])
+    goes_nowhere(made, other, client)
+    assert made.turn(lambda: not made.rig.budget.used["workers"])
+
+
+@pytest.mark.parametrize("over", [False, True])
+def test_a_further_launch_is_not_sent_once_repeats_are_not_known_any_more(over, serving, late):
+    # It was decided inside the window, and went out behind it when its connect came up.
+    late.held = False
+    made = serving("deduplicated", window=600.0).serving()
+    client = made.taken("a1", Idempotency_Key="k1")
+    theirs, _ = made.rig.called(made.sock)
+    assert made.turn(lambda: made.job("a1").launches[0].sent)
+    other = beside(made)
+    late.held = True
+    theirs.close()
+    assert made.turn(lambda: len(late.up) == 2)
+    late.held = False
+    if not over:
+        goes_to(made, other, client)
+        return
+    made.jumps(0.7)
+    there, _ = other.accept()
+    assert b" 500 " in made.rig.reply(client) and there.recv(1) == b""
+
+
+@pytest.mark.parametrize("place", ["read", "in hand"])
+def test_a_fault_over_a_request_is_answered_as_its_client_would_send_it_again(place, serving, monkeypatch):
+    # Closed with no answer it counted as never taken, and was sent again while its launch ran.
+    def breaks(*_):
+        raise KeyError("x")
+
+    made = serving("run-once").serving()
+    if place == "read":
+        monkeypatch.setattr(made.made.door.requests, "job", breaks)
+        client = made.asked()
+    else:
+        client = made.taken()
+        theirs, _ = made.rig.called(made.sock)
+        assert made.turn(lambda: made.job("a1").launches[0].sent)
+        monkeypatch.setattr(protocol_clients.http, "left", breaks)
+        client.sendall(b"x")
+    assert b" 500 " in made.rig.reply(client)
+    assert made.turn(lambda: not made.made.router.jobs)
+    assert [event for event, _ in made.rig.logged].count("fault") == 1
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,7 +3,7 @@
 import pytest
 from helpers import STEP, arrive, balancer, entry, pull, queue_type
 
-MAY_HAVE_RUN = ["error", "timeout", "lost", "revoked"]
+MAY_HAVE_RUN = ["error", "timeout", "lost", "dropped", "doubted", "revoked"]
 NEVER_RAN = ["full", "unreachable", "unsent"]
 
 
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -19,6 +19,9 @@
 class Launch:
     name, sent, conn, headed = "9b1f", False, None, False
 
+    def __init__(self, send_by):
+        self.send_by = send_by
+
 
 def line(state, job_id="9b1f", **more):
     raw = orjson.dumps({"id": job_id, "from": "s-1", "state": state, **more}) + b"\n"
@@ -37,8 +40,9 @@
 
 
 def launched(rig, made, peer, patience=5_000_000, body=b"x", once=False):
-    launch = Launch()
-    rig.loop.spawn(made.launch(peer, launch, exchange(body, once), rig.loop.now() + patience))
+    until = rig.loop.now() + patience
+    launch = Launch(until)
+    rig.loop.spawn(made.launch(peer, launch, exchange(body, once), until))
     return launch
 
 
