--- a/mastledge/lab/builds.py
+++ b/mastledge/lab/builds.py
@@ -144,8 +144,8 @@
 
     launch = Balancer.launch
 
-    def doubting(self, job, wkr, now):
-        decision = launch(self, job, wkr, now)
+    def doubting(self, job, wkr, now, until=None):
+        decision = launch(self, job, wkr, now, until)
         if job.id % 7 == 0 and job.qt["effect"] == "run-once":
             job.last = now + 5_000
             self.remind(job.last, job)
