--- a/mastledge/protocol/discovery.py
+++ b/mastledge/protocol/discovery.py
@@ -6,9 +6,12 @@
 from mastledge.transport.connection import NoSocket, TimedOut, address_of, connect
 from mastledge.transport.loop import Loop
 
+# What discovery holds counts as told 6 s after it can be reached (4 s after SIGHUP, which starts a call at
+# once). The call that is out then ends within SILENT, as a watch and a whole list are given up after that, a
+# connect and a head (ANSWER) sooner; the next begins within LONGEST and is answered at once: 3.0 s in all.
 SILENT = 2_600_000  # while nothing changes an empty line comes every 2 s
 ANSWER = 1_000_000  # the list is held on this machine and is given at once, or not at all
-# What discovery holds counts as told, so a watch that broke is taken up again soon, but not in a rush.
+# A watch that broke is taken up again soon, but not in a rush.
 PAUSE, LONGEST = 50_000, 400_000
 MOST_LIST = 16 * 1024 * 1024
 STATES = {"ready", "draining", "gone"}
@@ -127,6 +130,21 @@
         except ValueError as error:
             raise BadList(str(error)) from None
 
+    def change(self, conn):
+        """The next object of a watch, in one line or indented; nothing for an empty line, None at the end."""
+        parts, size, until = [], 0, self.loop.now() + SILENT
+        while (line := (yield from http.lines(conn, until, MOST_LIST))) is not None:
+            if not parts and not line.strip():
+                return {}
+            size += len(line) + 1
+            if parts and not line[:1].isspace() and not line.startswith(b"}") or size > MOST_LIST:
+                raise BadList(f"cut off: {parts[0][:80]!r}")
+            parts.append(line)
+            # An indented one opens in a line of its own, and all up to its end is further in.
+            if line.startswith(b"}") or line.strip() != b"{" and len(parts) == 1:
+                return self.read(b"\n".join(parts))
+        return None
+
     def whole(self):
         conn = yield from self.asked(b"/registry/instances")
         try:
@@ -149,9 +167,9 @@
             self.log("discovery_followed", generation=self.generation)
             # That it answers is news as well: it ends a failure.
             self.inbox.put("members", "changes", ())
-            while (line := (yield from http.lines(conn, self.loop.now() + SILENT, MOST_LIST))) is not None:
-                if line.strip():
-                    self.apply(self.read(line))
+            while (told := (yield from self.change(conn))) is not None:
+                if told:
+                    self.apply(told)
             raise h11.RemoteProtocolError("the watch ended")
         finally:
             conn.close()
--- /dev/null
+++ b/tests/test_terms.py
@@ -0,0 +1,189 @@
+"""The terms of the standing test: each with real connections, and a clock that the test steers."""
+
+import socket
+
+import orjson
+import pytest
+from helpers import HERE, Rig, Steered
+from test_crossings import CHUNKED, chunk
+from test_workers import discovery
+
+from mastledge.protocol.discovery import SILENT
+
+TOLD = 6_000_000  # after discovery had it and could be reached, a change counts as told
+LATEST = 3_100_000  # by which it is here; see the constants of protocol/discovery.py
+
+
+def told(generation, state="ready", reset=False, **how):
+    one = {"instanceId": "s-1", "hostPort": "10.1.0.18:7070", "zone": "z", "machineType": "k", "cell": 2,
+           "lifecycle": state, "weight": 1.5, "startedAtMs": 0}
+    list_ = {"generation": generation, "reset": reset, "instances": [one]}
+    return orjson.dumps(list_, **how) + b"\n"
+
+
+class Agent:
+    """Discovery, as it does at the moment."""
+
+    def __init__(self, rig):
+        self.rig, self.clock = rig, Steered(rig.loop)
+        self.sock, self.calls, self.filled = socket.create_server((HERE, 0), backlog=0), {}, []
+        self.address = self.sock.getsockname()
+        self.sock.setblocking(False)
+        self.made = discovery(rig, self.address)
+        self.does, self.state, self.fed, self.how = "up", "ready", 0, {}
+        self.made.follow()
+
+    def becomes(self, does):
+        self.does = does
+        if does == "hangs":
+            # No connection comes up any more: nobody takes those that wait.
+            while len(self.filled) < 2:
+                self.filled.append(socket.socket())
+                self.filled[-1].setblocking(False)
+                self.filled[-1].connect_ex(self.address)
+        else:
+            for one in self.filled:
+                one.close()
+            self.filled.clear()
+        for call in list(self.calls):
+            if does in ("ends", "spoils") and self.calls[call] == "watch":
+                call.sendall(chunk(b'{"generation":"x"}\n') if does == "spoils" else b"0\r\n\r\n")
+
+    def drains(self):
+        """It is up from here on, and has a change."""
+        self.becomes("up")
+        self.state, self.since = "draining", self.clock.at
+
+    def heard(self):
+        return any(entry[3] == "draining" for item in self.rig.inbox.items for entry in item[2])
+
+    def serves(self):
+        """What it does between two steps of the other side; whether it did anything."""
+        busy = False
+        while self.does != "hangs":
+            try:
+                call = self.sock.accept()[0]
+            except BlockingIOError:
+                break
+            call.setblocking(False)
+            self.calls[call], busy = "", True
+        for call, what in list(self.calls.items()):
+            try:
+                asked = call.recv(65536)
+                gone = not asked
+            except BlockingIOError:
+                asked, gone = b"", False
+            except OSError:
+                gone = True
+            if gone:
+                call.close()
+                del self.calls[call]
+                continue
+            if not what and asked:
+                self.answers(call, b"follow=1" in asked)
+                busy = True
+        if self.does == "drips" and self.clock.at >= self.fed:
+            self.fed = self.clock.at + 200_000
+            for call, what in list(self.calls.items()):
+                if what == "drips":
+                    call.send(chunk(b" "))
+                    busy = True
+        return busy
+
+    def answers(self, call, watch):
+        does = self.does
+        self.calls[call] = "watch" if watch and does == "up" else does
+        if does == "up":
+            raw = told(len(self.calls) + 7, self.state, not watch, **self.how)
+            call.sendall(CHUNKED + chunk(raw) + (b"" if watch else b"0\r\n\r\n"))
+        elif does in ("head", "drips"):
+            call.sendall(CHUNKED)
+        elif does == "refuses":
+            call.sendall(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
+        elif does == "spoils":
+            call.sendall(CHUNKED + chunk(b"{]\n"))
+        elif does in ("closes", "ends"):
+            call.close()
+            del self.calls[call]
+
+    def goes_on(self, span):
+        self.clock.run(lambda: False, span, self.serves)
+
+    def over(self):
+        self.rig.loop.cancel(self.made.task)
+        for one in (self.sock, *self.calls, *self.filled):
+            one.close()
+        assert not self.rig.errors
+
+
+@pytest.fixture
+def agent():
+    made = Agent(Rig())
+    made.goes_on(100_000)
+    assert made.made.answered
+    made.rig.inbox.items.clear()
+    yield made
+    made.over()
+
+
+WAYS = ["silent", "hangs", "head", "drips", "refuses", "spoils", "ends", "closes"]
+
+
+@pytest.mark.parametrize("first", WAYS)
+@pytest.mark.parametrize("then", WAYS)
+@pytest.mark.parametrize("spans", [(2_650_000, 900_000), (13_000_000, 2_500_000), (100_000, 3_450_000)])
+def test_a_change_is_here_in_time_whatever_became_of_the_calls_before(first, then, spans, agent):
+    for does, span in zip((first, then), spans, strict=True):
+        agent.becomes(does)
+        agent.goes_on(span)
+    agent.drains()
+    assert agent.clock.run(agent.heard, TOLD, agent.serves), agent.rig.logged
+    assert agent.clock.at - agent.since <= LATEST < TOLD
+
+
+def test_a_change_that_a_silent_watch_misses_is_here_in_time_also_late_in_the_day(agent):
+    # For 13 s it tells that nothing has changed; then it is silent, and the change goes by.
+    for _ in range(6):
+        agent.goes_on(2_000_000)
+        (watch,) = agent.calls
+        watch.sendall(chunk(b"\n"))
+    agent.goes_on(1_000_000)
+    agent.drains()
+    assert agent.clock.run(agent.heard, TOLD, agent.serves) and agent.clock.at - agent.since <= SILENT
+
+
+@pytest.mark.parametrize("does", WAYS)
+def test_a_change_at_the_place_that_a_new_configuration_names_is_here_at_once(does, agent):
+    # It counts as told 4 s after the signal, whatever the former place does.
+    agent.becomes(does)
+    agent.goes_on(2_000_000)
+    other = Agent(agent.rig)
+    agent.rig.loop.cancel(other.made.task)
+    other.clock, other.state, since = agent.clock, "draining", agent.clock.at
+    agent.made.move(other.address)
+    assert agent.clock.run(agent.heard, TOLD, lambda: agent.serves() + other.serves())
+    assert agent.clock.at - since <= 100_000
+    other.over()
+
+
+@pytest.mark.parametrize("watch", [False, True])
+def test_a_list_that_comes_indented_is_read(watch, agent):
+    agent.how = {"option": orjson.OPT_INDENT_2}
+    if not watch:
+        agent.made.generation = None
+    agent.becomes("ends")
+    agent.goes_on(1_000_000)
+    agent.drains()
+    assert agent.clock.run(agent.heard, TOLD, agent.serves)
+    agent.rig.logged.clear()
+    agent.goes_on(1_000_000)
+    assert not [fields for event, fields in agent.rig.logged if event == "discovery_broken"]
+
+
+@pytest.mark.parametrize("raw", [b'{\n "generation": 9\n\n', b'{\n' + told(9)])
+def test_an_indented_change_that_is_cut_off_is_a_bad_one(raw, agent):
+    (watch,) = agent.calls
+    watch.sendall(chunk(raw))
+    agent.goes_on(100_000)
+    assert [fields["why"] for event, fields in agent.rig.logged if event == "discovery_broken"][0].startswith(
+        "bad list: cut off")
