--- a/mastledge/lab/command.py
+++ b/mastledge/lab/command.py
@@ -243,7 +243,7 @@
                 action="append",
                 default=[],
                 metavar="WHO=BUILD",
-                help="a build that is wrong on purpose for one dispatcher, or all: "
-                + ", ".join(sorted(BUILDS)),
+                help="another build for one dispatcher, or all: FILE.py:NAME (a function that changes the "
+                "program) or " + ", ".join(sorted(BUILDS)),
             )
             command.add_argument("--quiet", action="store_true", help="only the summary")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -39,7 +39,7 @@
 ]
 RUNS = {name: ["lab", "run", name, "--seed", "1", "--quiet"] for name in known()}
 RUNS |= {
-    f"{build} {name}": ["lab", "run", name, "--quiet", "--build", f"{who}={build}"]
+    f"{build} {name}": ["lab", "run", name, "--quiet", "--build", f"{who}=tests/wrong_builds.py:{build}"]
     for build, name, who, _ in CAUGHT
 }
 SECONDS = 120
--- /dev/null
+++ b/tests/wrong_builds.py
@@ -0,0 +1,235 @@
+"""Builds of the program that are wrong on purpose: what the judge has to catch (`lab run --build`)."""
+
+
+def leaseless():
+    """Acts on what it knows, lease or not."""
+    from mastledge.agreement.member import Member
+
+    Member.may_act = lambda self, now: self.rules is not None
+
+
+def hasty():
+    """Calls a change in force as soon as it is agreed, whoever has it."""
+    from mastledge.agreement.leases import Leases
+
+    Leases.reached = lambda self, name, now: None
+
+
+def deaf():
+    """Agrees on who is out by hand and launches there all the same."""
+    from mastledge.balance import Balancer
+
+    def by_hand(self, now, out, back):
+        self.sort_out()
+
+    Balancer.by_hand = by_hand
+    from mastledge.protocol.workers import Workers
+
+    sent = Workers.sent_lawfully
+
+    def sent_lawfully(self, conn, peer, *how):
+        peer.out = False
+        return sent(self, conn, peer, *how)
+
+    Workers.sent_lawfully = sent_lawfully
+
+
+def twice():
+    """Launches run-once jobs again that may have run."""
+    from mastledge.balance import Balancer
+
+    settle = Balancer.settle
+
+    def again(self, job, now):
+        if job.launches and not job.out and not job.ended:
+            for launch in job.launches:
+                launch.may_have_run = False
+        elif len(job.launches) == 1 and job.qt["effect"] == "run-once" and not job.launches[0].ended:
+            job.launches[0].ended, job.out = True, 0
+            job.launches[0].may_have_run = False
+            decision = settle(self, job, now)
+            job.launches[0].ended, job.out = False, 1 + (len(job.launches) > 1)
+            return decision
+        decision = settle(self, job, now)
+        if decision and decision[0] == "launch" and job.qt["effect"] == "run-once":
+            self.remind(now + 1000, job)
+        return decision
+
+    Balancer.settle = again
+
+
+def late():
+    """Forgets to give jobs up: they are answered when it is too late, or by the last resort."""
+    from mastledge.balance import Balancer
+
+    arrived = Balancer.arrived
+
+    def kept(self, now, job_id, *fields):
+        arrived(self, now, job_id, *fields)
+        if job_id % 10 == 0:
+            self.jobs[job_id].ended = True
+
+    Balancer.arrived = kept
+    from mastledge.protocol import clients
+
+    outcome = clients.Door.outcome
+
+    def slow(self, conn, exchange):
+        exchange.until += 400_000
+        return (yield from outcome(self, conn, exchange))
+
+    clients.Door.outcome = slow
+
+
+def forgetful():
+    """Says that what it agreed is on the disk, and writes nothing."""
+    from mastledge.store.journal import Journal
+
+    Journal.append = lambda self, records: None
+
+
+def undrained():
+    """Launches on workers that the list says are draining."""
+    from mastledge.protocol.discovery import Discovery
+
+    entry = Discovery.entry
+
+    def ready(self, one):
+        return entry(self, {**one, "lifecycle": "ready"})
+
+    Discovery.entry = ready
+
+
+def cold():
+    """Takes cold workers for warm ones."""
+    from mastledge.balance import Balancer
+
+    pick = Balancer.pick
+
+    def coldest(self, job, now, group):
+        for wkr in self.ready:
+            if wkr.cold and self.settings["cold_for"] > now - wkr.born and not job.launches:
+                return wkr, 0.0
+        return pick(self, job, now, group)
+
+    Balancer.pick = coldest
+
+
+def refusing():
+    """Rejects what has been launched and may have run."""
+    from mastledge.balance import Balancer
+
+    launch = Balancer.launch
+
+    def doubting(self, job, wkr, now, until=None):
+        decision = launch(self, job, wkr, now, until)
+        if job.id % 7 == 0 and job.qt["effect"] == "run-once":
+            job.last = now + 5_000
+            self.remind(job.last, job)
+        return decision
+
+    def give_up(self, job, hold_off):
+        self.close(job)
+        return ("reject", job.id, 0)
+
+    Balancer.launch = doubting
+    Balancer.give_up = give_up
+    settle = Balancer.settle
+
+    def early(self, job, now):
+        if job.launches and now >= job.last:
+            return self.give_up(job, 0)
+        return settle(self, job, now)
+
+    Balancer.settle = early
+
+
+def claimless():
+    """Writes its claim on a key down with the outcome, after the launch."""
+    from mastledge.program.repeating import Repeats
+
+    lasting = Repeats.lasting
+
+    def later(self, record):
+        if record.state == "claimed":
+            self.later = [*getattr(self, "later", ()), *(r for r in self.book.out if r[1:3] == record.place)]
+            self.book.out = [r for r in self.book.out if r[1:3] != record.place]
+            return True
+        self.book.out = [r for r in self.later if r[1:3] == record.place] + self.book.out
+        return (yield from lasting(self, record))
+
+    Repeats.lasting = later
+
+
+def boastful():
+    """Launches without a claim, and tells the holders of a key only what came of it."""
+    from mastledge.copies import messages as m
+    from mastledge.copies import owner as o
+
+    def claim(self, now, job):
+        job.tries, job.phase, job.claim = 1, o.HELD, m.named(self.name, self.run, self.number())
+        self.claims[job.claim] = self.places[job.place] = job
+        self.tell(job, o.GO)
+
+    o.Owner.claim = claim
+
+
+def amnesic():
+    """Says that an answer is kept, and keeps only that the job may have run."""
+    from mastledge.copies.holder import Holder
+
+    raise_to = Holder.raise_to
+
+    def forgets(self, now, record, known, status, content, left):
+        raise_to(self, now, record, False, 0, b"", left)
+        record.state = "answered" if known else record.state
+        self.book.unsure(now, record)
+
+    Holder.raise_to = forgets
+    end = Holder.end
+
+    def says_so(self, now, told):
+        had = end(self, now, told)
+        had.what = "done"
+        return had
+
+    Holder.end = says_so
+
+
+def grudging():
+    """Never gives a claim back: a job that was rejected may have run, for all that is known."""
+    from mastledge.copies import owner as o
+
+    def give_back(self, now, job, done=None):
+        op = o.Op(0, o.m.Drop, job.place, (), now, done)
+        self.at(now, lambda now: done and done(now, op))
+        return op
+
+    def on_ask(self, now, sender, ask):
+        self.host.say(sender, o.m.Told(ask.op, ask.claim, o.m.UNKNOWN))
+
+    o.Owner.give_back, o.Owner.on_Ask = give_back, on_ask
+
+
+def reckless():
+    """Begins a fleet anew whenever it is told to."""
+    from mastledge.recovery import snapshots
+
+    snapshots.refused = lambda *fields: ""
+
+
+def ajar():
+    """A door that lets in all that come, whatever becomes of them."""
+    from mastledge.recovery.opening import Opening
+
+    def admit(self, now, further):
+        self.held += 1
+
+    Opening.admit = admit
+
+
+def credulous():
+    """Believes a list that is older than what it has heard."""
+    from mastledge.recovery import belief
+
+    belief.kept_off = lambda *fields: frozenset()
