--- a/mastledge/agreement/member.py
+++ b/mastledge/agreement/member.py
@@ -13,7 +13,7 @@
 from mastledge.agreement import messages as m
 from mastledge.agreement.leases import Leases, shortest
 from mastledge.agreement.log import Log
-from mastledge.agreement.rules import MEMBERSHIP, Rules, genesis, membership, sound, wanted_voters
+from mastledge.agreement.rules import GONE, MEMBERSHIP, Rules, genesis, membership, sound, wanted_voters
 
 BEATS = 10  # of the leader to voters in the time of a lease
 SLOW_BEATS = 4  # to those that do not vote
@@ -125,6 +125,13 @@
         entries = self.log.behind(self.commit, len(self.log.entries))
         return self.commit >= self.began and not any(entry.change["kind"] in MEMBERSHIP for entry in entries)
 
+    def remembers(self, change):
+        """Whether one more may leave: so many are kept, and the first of them may act by its lease until that is
+        over.
+        """
+        gone = self.gone()
+        return change["kind"] != "remove" or len(gone) < GONE or self.leases.left(gone[0]["name"], self.now)
+
     def knows(self, sender, life):
         one = self.members().get(sender)
         return one is not None and one["life"] == life
@@ -284,7 +291,7 @@
             return
         if id in self.rules.results:
             return
-        if change["kind"] in MEMBERSHIP and not self.settled():
+        if change["kind"] in MEMBERSHIP and not (self.settled() and self.remembers(change)):
             if len(self.waiting) < WAITING and all(waits != id for waits, _ in self.waiting):
                 self.waiting.append((id, change))
             return
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -103,6 +103,23 @@
     assert not other.member.may_act(other.clock())
 
 
+def test_however_many_leave_at_once_none_is_forgotten_while_it_may_act():
+    # Of those that left eight are kept; the ninth put the first one out, whose lease nobody waited for then.
+    fleet = Fleet([f"n{n}" for n in range(14)], 5).start()
+    assert fleet.run(5_000_000, lambda: fleet.leader() is not None and settled(fleet))
+    fleet.run(fleet.now + 1_000_000)
+    leader = fleet.leader()
+    first, *others = [node for node in fleet.nodes.values() if not node.member.is_voter()]
+    others += [node for node in fleet.nodes.values() if node.member.is_voter() and node is not leader][:4]
+    assert len(others) >= 9 and first.member.may_act(first.clock())
+    first.until = fleet.now + 10_000_000
+    for n, node in enumerate([first, *others[:9]]):
+        fleet.propose(leader.name, f"r{n}", {"kind": "remove", "name": node.name})
+        assert fleet.run(fleet.now + 4_000_000, lambda n=n: f"r{n}" in fleet.answered)
+    assert fleet.run(fleet.now + 4_000_000, lambda: leader.member.in_force >= leader.member.log.last)
+    assert not first.member.may_act(first.clock())
+
+
 def test_five_changes_at_once_from_three_callers_come_in_one_order():
     fleet = formed()
     for n in range(5):
