--- a/mastledge/agreement/member.py
+++ b/mastledge/agreement/member.py
@@ -126,9 +126,7 @@
         return self.commit >= self.began and not any(entry.change["kind"] in MEMBERSHIP for entry in entries)
 
     def remembers(self, change):
-        """Whether one more may leave: so many are kept, and the first of them may act by its lease until that is
-        over.
-        """
+        """Whether one more may leave: so many are kept, and the first may act until its lease is over."""
         gone = self.gone()
         return change["kind"] != "remove" or len(gone) < GONE or self.leases.left(gone[0]["name"], self.now)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1022,3 +1022,27 @@
     assert b" 500 " in made.rig.reply(client)
     assert made.turn(lambda: not made.made.router.jobs)
     assert [event for event, _ in made.rig.logged].count("fault") == 1
+
+
+@pytest.mark.parametrize("short", ["descriptors", "memory", "idle", "the end"])
+def test_a_client_whose_job_is_in_hand_is_never_closed_on(short, serving):
+    # It would send again, while its launch may run.
+    made = serving("run-once").serving()
+    client = made.taken("a1")
+    theirs, _ = made.rig.called(made.sock)
+    assert made.turn(lambda: made.job("a1").launches[0].sent)
+    budget = made.made.budget
+    if short == "descriptors":
+        while budget.evict(*budget.idle):
+            pass
+    elif short == "memory":
+        assert not budget.hold(budget.most_bytes + 1)
+    elif short == "idle":
+        made.made.door.close_all_idle()
+    else:
+        made.ends()
+        made.made.inbox.put("over")
+        assert b" 500 " in made.rig.reply(client)
+        return
+    answers(theirs, b"a1")
+    assert made.rig.reply(client).endswith(b"r")
