--- a/mastledge/lab/crossing.py
+++ b/mastledge/lab/crossing.py
@@ -45,6 +45,16 @@
     return b"%x\r\n%s\r\n" % (len(raw), raw)
 
 
+def come(sock):
+    """What has come on it: nothing at its end, None where nothing is there."""
+    try:
+        return sock.recv(1 << 16)
+    except BlockingIOError:
+        return None
+    except OSError:
+        return b""
+
+
 class Caller:
     """A client's connection and its one job."""
 
@@ -69,14 +79,9 @@
             self.stage.note("sent", job=self.job, key="", who="n0", walltime=WALLTIME, type="render")
 
     def reads(self):
-        if not self.open:
-            return False
-        try:
-            part = self.sock.recv(1 << 16)
-        except BlockingIOError:
+        part = come(self.sock) if self.open else None
+        if part is None:
             return False
-        except OSError:
-            part = b""
         self.got += part
         if part and self.got.startswith(b"HTTP/1.1 100"):
             self.got = self.got.partition(b"\r\n\r\n")[2]
@@ -108,14 +113,9 @@
         sock.setblocking(False)
 
     def reads(self):
-        if not self.open:
-            return False
-        try:
-            part = self.sock.recv(1 << 16)
-        except BlockingIOError:
+        part = come(self.sock) if self.open else None
+        if part is None:
             return False
-        except OSError:
-            part = b""
         if not part:
             self.ends()
             return True
@@ -252,12 +252,9 @@
 
     def answers_call(self, call):
         sock, got = call
-        try:
-            part = sock.recv(1 << 16)
-        except BlockingIOError:
+        part = come(sock)
+        if part is None:
             return False
-        except OSError:
-            part = b""
         if not part:
             sock.close()
             self.calls.remove(call)
