Calls in turn: the stand-in keeps answered watches alive, as the protocol has it

Cause of the known red test: its stand-in said nothing more on a watch that it had answered, though the protocol has an empty line every 2 s. Each answered watch was given up after 2.6 s and asked for once more, in front of those that had heard nothing: 44 answers for 32 dispatchers in a probe. The program is not changed.

The test is replaced by a stricter one: the empty lines are there, 180 ms an answer is tried besides 130 and 150, and all have to have heard after 32 answers and one pause of 0.4 s, 6 s at most (6 s before).

--- a/mastledge/protocol/discovery.py
+++ b/mastledge/protocol/discovery.py
@@ -10,8 +10,9 @@
 # once). The call that is out then ends within SILENT, as a watch and a whole list are given up after that, a
 # connect and a head (ANSWER) sooner; the next begins within LONGEST and is answered at once: 3.0 s in all.
 # Where lists are asked for, the calls of all dispatchers wait in turn. One that is given up has cost its
-# answer for nothing, and where all give up early most hear nothing. So it has as long as 6 s leave: 5.5 s,
-# unless it is refused: who comes again then has no bound (KNOWN-RED.txt).
+# answer for nothing, and where all give up early most hear nothing. So it has as long as 6 s leave: 5.5 s.
+# One that is refused comes again within LONGEST, before the queue has run dry: all have been answered once
+# discovery has done the work for all (docs/incidents/calls-in-turn.md).
 SILENT = 2_600_000  # while nothing changes an empty line comes every 2 s
 ANSWER = 1_000_000  # the list is held on this machine and is given at once, or not at all
 IN_TURN = 2_500_000  # where it is asked for
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -19,7 +19,7 @@
 from test_workers import discovery
 
 from mastledge.lab.steered import Steered
-from mastledge.protocol.discovery import SILENT
+from mastledge.protocol.discovery import LONGEST, SILENT
 
 ROOT = Path(__file__).parent.parent
 
@@ -205,9 +205,13 @@
 
 
 class InTurn:
-    """Discovery that many ask: one answer after the other, and no when more wait than it may take."""
+    """Discovery that many ask: one answer after the other, and no when more wait than it may take.
+
+    A watch that has been answered stays open and gets an empty line every 2 s, as the protocol page says.
+    """
 
     WAITS = 1_500_000
+    HEARTBEAT = 2_000_000
 
     def __init__(self, rig, count, each):
         self.each = each
@@ -215,7 +219,9 @@
         self.sock.setblocking(False)
         self.made = [discovery(rig, self.sock.getsockname(), True) for _ in range(count)]
         self.calls, self.queue, self.free = [], [], 0
-        self.clock.peers_due = lambda: self.queue[0][0] if self.queue else None
+        self.watches = {}  # open ones, and when each gets its next empty line
+        self.clock.peers_due = lambda: min([at for at, _ in self.queue[:1]] + list(self.watches.values()),
+                                           default=None)
         for one in self.made:
             one.generation = 1
             one.follow()
@@ -241,22 +247,33 @@
                 call.sendall(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
             else:
                 self.calls.remove(call)  # whoever gave up has cost its answer all the same
+                self.watches.pop(call, None)
         while self.queue and self.queue[0][0] <= now:
-            try:
-                self.queue.pop(0)[1].sendall(CHUNKED + chunk(b"\n"))
-            except OSError:
-                pass
-            busy = True
+            call = self.queue.pop(0)[1]
+            busy = self.tells(call, CHUNKED + chunk(b"\n"))
+        for call in [call for call, at in self.watches.items() if at <= now]:
+            busy = self.tells(call, chunk(b"\n"))
         return busy
 
+    def tells(self, call, raw):
+        try:
+            call.sendall(raw)
+            self.watches[call] = self.clock.at + self.HEARTBEAT
+        except OSError:
+            self.watches.pop(call, None)
+        return True
+
 
-@pytest.mark.parametrize("each", [130_000, 150_000])
+@pytest.mark.parametrize("each", [130_000, 150_000, 180_000])
 def test_many_that_ask_one_discovery_in_turn_all_hear_of_it_in_time(each):
-    # Each gave up after 1 s, and most of the answers were for nobody: some heard nothing in 18 s.
+    # Each gave up after 1 s, and most of the answers were for nobody: some heard nothing in 18 s. Now the
+    # last of them hears of it once discovery has done the work for all, and a refused call's pause later.
+    count = 32
     rig = Rig(sockets=512)
     rig.budget.most["discovery"] = 64
-    place = InTurn(rig, 32, each)
-    assert place.clock.run(lambda: all(one.answered for one in place.made), TOLD, place.serves), sum(
+    place = InTurn(rig, count, each)
+    within = min(TOLD, count * each + LONGEST)
+    assert place.clock.run(lambda: all(one.answered for one in place.made), within, place.serves), sum(
         one.answered for one in place.made)
     for one in place.made:
         rig.loop.cancel(one.task)
