News of draining workers are decoded as such, so who hears them keeps its lease

Cause: Append.news was an untyped list and came out of a frame as plain lists. The field is typed now; frames are the same bytes.

--- a/mastledge/agreement/messages.py
+++ b/mastledge/agreement/messages.py
@@ -89,7 +89,7 @@
     in_force: int
     left: int
     heard: dict[str, tuple[str, int, int, int]] = {}
-    news: list = []
+    news: list["News"] = []
 
 
 class Ack(Message):
