Scale run: real dispatchers beside hollow ones, measured on sockets

lab scale starts real processes with a meter built in, hollow dispatchers (the program's own agreement and links, many to a process), hollow workers and a discovery that plays restarts, a rack and a zone; lab slopes fits a line along one axis.

--- a/mastledge/lab/builds.py
+++ b/mastledge/lab/builds.py
@@ -57,7 +57,15 @@
     return build
 
 
-BUILDS = {build.__name__: build for build in (elder, slow_disk, *map(baseline, ("random", "least", "two")))}
+def metered():
+    """Not wrong: it counts what it does (`lab/scale/meter.py`)."""
+    from mastledge.lab.scale.meter import metered as install
+
+    install()
+
+
+BASELINES = ("random", "least", "two")
+BUILDS = {build.__name__: build for build in (elder, slow_disk, metered, *map(baseline, BASELINES))}
 
 
 def found(name):
--- a/mastledge/lab/command.py
+++ b/mastledge/lab/command.py
@@ -17,6 +17,7 @@
 from mastledge.lab.judge import judged
 from mastledge.lab.policies import POLICIES
 from mastledge.lab.rig import Rig
+from mastledge.lab.scale.command import add as add_scale
 from mastledge.lab.scenario import BadScenario, known, read
 from mastledge.lab.scenario import check as check_scenario
 
@@ -238,6 +239,7 @@
     )
     below = lab.add_subparsers(dest="below", required=True, metavar="COMMAND")
     add_bench(below)
+    add_scale(below)
     for call, about in (
         (run, "run a scenario: a file, or a name of `lab names`"),
         (check, "read a scenario and say whether it is good"),
--- /dev/null
+++ b/mastledge/lab/scale/hollow.py
@@ -0,0 +1,160 @@
+"""Hollow dispatchers: the program's own agreement and links, without clients, decisions or a disk.
+
+`python -m mastledge.lab.scale.hollow FILE` hosts those that the file names, all on one loop, and ends
+when its standard input does. A line `leave` has those of them that lead hand the lead on.
+"""
+
+import json
+import os
+import sys
+from copy import deepcopy
+from zlib import crc32
+
+from mastledge.agreement import messages
+from mastledge.agreement.kept import Kept
+from mastledge.agreement.member import LEADER
+from mastledge.agreement.restrictions import OwnList
+from mastledge.lab.bench import Sized
+from mastledge.lab.scale.delay import DelayedLinks
+from mastledge.protocol.discovery import Discovery
+from mastledge.transport.budget import Budget
+from mastledge.transport.connection import address_of
+from mastledge.transport.loop import READ, Loop, Queue
+
+LEAVE = b"leave"
+REGISTRY = "scale"
+SOCKETS, MEMORY = 64, 1 << 24  # of the watch that all of a process share
+
+
+class HollowDispatcher:
+    """One member on the loop of its process. Its disk is memory: what it saves is there at once."""
+
+    def __init__(self, loop, name, told):
+        self.loop, self.name = loop, name
+        kept = Kept()
+        for record in deepcopy(told["records"][name]):
+            kept.take(record)
+        seed = crc32(f"{told['seed']} {name}".encode())
+        now = loop.now()
+        self.member = Sized(
+            name,
+            {**told["listed"], name: told["addresses"][name]},
+            False,
+            {},
+            told["lease"],
+            kept.value(),
+            (f"{name}.{os.getpid()}", "none"),
+            seed,
+            now,
+        )
+        self.links = DelayedLinks(
+            loop,
+            self.who,
+            self.address,
+            self.heard,
+            len(told["addresses"]),
+            seed,
+            self.log,
+            regions=told["regions"],
+            round_trip=told["round_trip"],
+        )
+        self.own_list = OwnList()
+        self.links.begin(address_of(told["addresses"][name]))
+        self.timer = loop.spawn(self.timed(), first=True)
+
+    def log(self, event, **fields):
+        """Nobody reads the log of a hollow dispatcher."""
+
+    def who(self):
+        return self.member.fleet, self.name, self.member.life
+
+    def address(self, name):
+        text = self.member.address(name)
+        return None if text is None else address_of(text)
+
+    def heard(self, name, life, content):
+        self.input("heard", name, life, messages.decode(content))
+
+    def timed(self):
+        self.input("time")
+        while True:
+            yield (-1, 0, max(self.member.wake_at(), self.loop.now() + 500))
+            if self.loop.now() >= self.member.wake_at():
+                self.input("time")
+
+    def input(self, what, *fields):
+        due, inputs = self.member.wake_at(), [(what, *fields)]
+        while inputs:
+            for output, *rest in self.member.step(self.loop.now(), *inputs.pop(0)):
+                if output == "send":
+                    to, message = rest
+                    self.links.send(to, messages.encode(message))
+                elif output in ("save", "rewrite"):
+                    inputs.append(("saved", rest[0]))
+        if what != "time" and self.member.wake_at() < due:
+            self.loop.wake(self.timer)
+
+    def listed(self, kind, entries, generation):
+        """As `Fleet.listed`: the list is passed on as a whole dispatcher does it."""
+        if self.own_list.listed(kind, entries, generation):
+            self.input("passed", self.own_list.news(REGISTRY))
+
+    def leave(self):
+        if self.member.role == LEADER:
+            self.input("leaves")
+
+
+def commands(loop, hosted):
+    """Follows standard input to its end, which is the end of this process."""
+    fd, held = sys.stdin.fileno(), b""
+    os.set_blocking(fd, False)
+    while True:
+        yield (fd, READ, None)
+        got = os.read(fd, 4096)
+        if not got:
+            loop.running = False
+            return
+        *lines, held = (held + got).split(b"\n")
+        if LEAVE in lines:
+            for one in hosted:
+                one.leave()
+
+
+def followed(loop, address, hosted):
+    """One watch on the list, read once and told to each that is hosted, as if it had one of its own."""
+    inbox = Queue(loop)
+    words = {"zones": [], "kinds": [], "unix_now": 0, "asked": False}
+    discovery = Discovery(loop, Budget(SOCKETS, MEMORY), inbox, address_of(address), words, hosted[0].log)
+
+    def tell():
+        inbox.reader = task
+        while True:
+            while inbox.items:
+                _, kind, entries = inbox.items.popleft()
+                brief = [(entry[0], entry[3]) for entry in entries]
+                for one in hosted:
+                    one.listed(kind, brief, discovery.generation)
+            yield from inbox.wait(None)
+
+    task = loop.spawn(tell())
+    discovery.follow()
+
+
+def main(path):
+    with open(path) as file:
+        told = json.load(file)
+    errors = []
+    loop = Loop(errors.append)
+    hosted = [HollowDispatcher(loop, name, told) for name in told["hosted"]]
+    loop.spawn(commands(loop, hosted))
+    followed(loop, told["discovery"], hosted)
+    print(json.dumps({"hosted": len(hosted)}), flush=True)
+    while loop.running and not errors:
+        loop.once()
+    if errors:
+        print(f"{type(errors[0]).__name__}: {errors[0]}", file=sys.stderr)
+    return 1 if errors else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1]))
--- a/mastledge/program/fleet.py
+++ b/mastledge/program/fleet.py
@@ -14,6 +14,7 @@
 from mastledge.agreement.kept import Kept
 from mastledge.agreement.leases import longest
 from mastledge.agreement.member import LEADER, Member
+from mastledge.agreement.restrictions import OwnList
 from mastledge.peers.links import Links
 from mastledge.program.beside import Notes
 from mastledge.program.settings import flat, plain_map
@@ -65,7 +66,7 @@
         self.rule = Rule(self, self.told["without_lease"] == "serve")
         self.member = self.writer = self.links = self.timer = None
         self.answers, self.count, self.applied = {}, 0, -1
-        self.held, self.restricted, self.news, self.known_generation = None, {}, None, 0
+        self.held, self.own_list, self.news = None, OwnList(), None
         self.longest, self.unreadable = 0, ""
         # What the process beside this one, which speaks, has told: up to which entry, and until when it
         # holds.
@@ -340,41 +341,26 @@
         """What this dispatcher's own registry has told: what others of that registry must keep off is passed
         on.
         """
-        if kind == "whole":
-            named = {entry[0] for entry in entries}
-            self.restricted = {id: state for id, state in self.restricted.items() if id not in named}
-        for entry in entries:
-            if entry[3] == "ready":
-                self.restricted.pop(entry[0], None)
-            else:
-                self.restricted[entry[0]] = entry[3]
-                if len(self.restricted) > 1024:
-                    del self.restricted[next(iter(self.restricted))]
-        generation = self.program.discovery.generation
-        if generation is not None and kind in ("whole", "changes"):
-            fresh, self.known_generation = generation > self.known_generation, generation
-            if fresh:
-                self.pass_on()
+        brief = [(entry[0], entry[3]) for entry in entries]
+        if self.own_list.listed(kind, brief, self.program.discovery.generation):
+            self.pass_on()
         self.take_news()
 
     def pass_on(self):
-        news = messages.News(self.registry(), self.known_generation, sorted(self.restricted.items()))
-        self.input("passed", news)
+        self.input("passed", self.own_list.news(self.registry()))
 
     def retold(self):
         while True:
             yield (-1, 0, self.loop.now() + RETELL)
-            if self.known_generation and self.restricted and self.program.discovery.answered:
+            if self.own_list.generation and self.own_list.restricted and self.program.discovery.answered:
                 self.pass_on()
 
     def take_news(self):
         """Another's newer list keeps off whom it restricts, until one's own is as new."""
-        news, own = self.news, self.known_generation
-        out = frozenset()
-        if news is not None and news.generation > own:
-            out = frozenset(id for id, _ in news.workers)
+        out = self.own_list.out(self.news)
         if out != self.program.heard_out:
-            self.log("heard_out", out=sorted(out), generation=news and news.generation, own=own)
+            generation = self.news and self.news.generation
+            self.log("heard_out", out=sorted(out), generation=generation, own=self.own_list.generation)
             self.program.heard_out = out
             self.program.recompose()
 
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -227,7 +227,7 @@
     news = m.News("r", 7, [("w0", "draining")])
     fleet.nodes["n2"].step("passed", fleet.nodes["n2"].member, news)
     assert fleet.run(fleet.now + 1_000_000, lambda: {who for _, who, _ in fleet.news} == {"n0", "n1", "n2"})
-    # As they were said: a plain list in their place ended the step that heard it, with all that it had to send.
+    # As they were said: a plain list in their place ended the step that heard it.
     assert all(heard == news for _, _, heard in fleet.news)
 
 
