--- /dev/null
+++ b/mastledge/agreement/following.py
@@ -0,0 +1,142 @@
+"""What a member takes from the leader: entries, snapshots, what is agreed, and its lease."""
+
+from mastledge.agreement import messages as m
+from mastledge.agreement.leases import shortest
+from mastledge.agreement.log import Log
+from mastledge.agreement.rules import MEMBERSHIP, Rules
+from mastledge.agreement.timing import FOLLOWER, PART
+
+
+class Following:
+    """The part of `Member` that follows a leader."""
+
+    def on_Append(self, now, sender, life, append):
+        if append.term < self.term:
+            self.ack(sender, False, 0)
+            return
+        if self.leader != sender or append.term > self.term or self.role != FOLLOWER:
+            self.follow(append.term, sender)
+        self.heard_at, self.last_stamp = now, append.stamp
+        self.draw_election(now)
+        for name, known in append.heard.items():
+            self.remember(name, *known)
+        for news in append.news:
+            self.out.append(("news", news))
+        if (
+            not self.rules
+            or append.prev > self.log.last
+            or (append.prev >= self.log.base and self.log.term(append.prev) != append.prev_term)
+        ):
+            self.ack(sender, False, append.stamp)
+            return
+        index = append.prev
+        for entry in append.entries:
+            index += 1
+            if index <= self.log.base or self.log.term(index) == entry.term:
+                continue
+            if index <= self.log.last:
+                self.log.cut(index)
+                self.safe = min(self.safe, index - 1)
+                self.pending = {token: min(last, index - 1) for token, last in self.pending.items()}
+                self.records.append(("cut", index))
+                self.ends = None
+            self.log.append(entry)
+            if entry.change["kind"] in MEMBERSHIP:
+                self.ends = None
+            self.records.append(("entry", index, entry))
+        self.agree(min(append.commit, index))
+        self.in_force = max(self.in_force, min(append.in_force, self.commit))
+        self.left_until = now + append.left
+        grant = append.grant - self.offset
+        if self.started <= grant <= now and append.commit <= self.rules.applied and self.listens():
+            self.lease_until = max(self.lease_until, grant + shortest(self.lease))
+        if not self.records or self.broken:
+            self.ack(sender, True, append.stamp)
+
+    def listens(self):
+        """Whether this is a member in the life that the fleet knows."""
+        me = self.rules.members.get(self.name)
+        return me is not None and me["life"] == self.life
+
+    def ack(self, to, yes, stamp):
+        self.acked = self.safe
+        applied = self.rules.applied if self.rules else 0
+        if self.shown is not None:
+            applied = min(applied, self.shown)
+        # Up to what is agreed it is the leader's log; behind that it may not be.
+        hint = self.commit if self.rules else 0
+        self.send(
+            to,
+            m.Ack(
+                self.term,
+                yes,
+                self.safe,
+                self.log.term(self.safe) or 0,
+                applied,
+                stamp,
+                self.now + self.offset,
+                hint,
+            ),
+        )
+
+    def on_Install(self, now, sender, life, install):
+        if install.term < self.term:
+            self.ack(sender, False, 0)
+            return
+        if self.leader != sender or install.term > self.term or self.role != FOLLOWER:
+            self.follow(install.term, sender)
+        self.heard_at, self.last_stamp = now, install.stamp
+        self.draw_election(now)
+        if install.last > self.commit:
+            if not self.fleet:
+                self.fleet = self.told_fleet(sender)
+                if not self.fleet:
+                    return
+                self.records.append(("identity", self.fleet, self.life))
+                self.records.append(("hard", self.term, self.vote))
+                self.phase = PART
+                self.event("taken_in", fleet=self.fleet, life=self.life)
+            if self.log.term(install.last) == install.last_term:
+                # What stands behind it may have been said to be safe here, and counts.
+                self.log.compact(install.last)
+            else:
+                self.log = Log(install.last, install.last_term)
+                self.safe = min(self.safe, install.last)
+                self.pending = {token: min(last, install.last) for token, last in self.pending.items()}
+            self.rules, self.ends = Rules(install.state, install.last), None
+            self.base_state, self.commit = self.rules.snapshot(), install.last
+            self.records.append(("snapshot", install.last, install.last_term, self.base_state))
+            self.event("installed", last=install.last)
+            for id in [id for id in self.mine if id in self.rules.results]:
+                del self.mine[id]
+                self.out.append(("agreed", id, self.commit, self.rules.results[id]))
+        if not self.records or self.broken:
+            self.ack(sender, True, install.stamp)
+
+    def agree(self, commit):
+        """Applies what is agreed up to `commit`, in its order."""
+        while self.commit < commit and not self.stopped:
+            entry = self.log.entry(self.commit + 1)
+            try:
+                result = self.rules.apply(self.commit + 1, entry)
+            except (ValueError, KeyError, TypeError) as error:
+                # To go on without it would be to act on other rules than the rest.
+                self.stopped = f"cannot follow what is agreed: {error}"
+                self.event("stopped", why=self.stopped)
+                return
+            self.commit += 1
+            self.event(
+                "agreed",
+                index=self.commit,
+                version=result["version"],
+                kind=entry.change["kind"],
+                why=result.get("why", ""),
+            )
+            if entry.id in self.mine:
+                del self.mine[entry.id]
+                self.out.append(("agreed", entry.id, self.commit, result))
+        if self.commit - self.log.base >= self.compact:
+            self.log.compact(self.commit)
+            self.base_state, self.ends = self.rules.snapshot(), None
+            self.records.append(("snapshot", self.log.base, self.log.base_term, self.base_state))
+        self.ends = None
--- a/mastledge/agreement/rules.py
+++ b/mastledge/agreement/rules.py
@@ -200,7 +200,6 @@
         self.state["members"] = after
         return "", 0
 
-
     # Copies of keys: docs/copies.md
 
     def on_holds(self, change):
--- a/mastledge/lab/explore.py
+++ b/mastledge/lab/explore.py
@@ -10,9 +10,10 @@
 from collections import deque
 
 from mastledge.agreement.kept import Kept
-from mastledge.agreement.member import LEADER, MANY, PART, Member
+from mastledge.agreement.member import Member
 from mastledge.agreement.messages import Append, decode, encode
 from mastledge.agreement.rules import genesis
+from mastledge.agreement.timing import LEADER, MANY, PART
 from mastledge.lab.schedule import LEASE, Broken
 
 BEGAN = 1_000_000
--- a/mastledge/lab/scale/hollow.py
+++ b/mastledge/lab/scale/hollow.py
@@ -12,8 +12,8 @@
 
 from mastledge.agreement import messages
 from mastledge.agreement.kept import Kept
-from mastledge.agreement.member import LEADER
 from mastledge.agreement.restrictions import OwnList
+from mastledge.agreement.timing import LEADER
 from mastledge.lab.bench import Sized
 from mastledge.lab.scale.delay import DelayedLinks
 from mastledge.protocol.discovery import Discovery
--- a/mastledge/lab/schedule.py
+++ b/mastledge/lab/schedule.py
@@ -10,9 +10,10 @@
 import numpy
 
 from mastledge.agreement.kept import Kept
-from mastledge.agreement.member import LEADER, PART, Member
+from mastledge.agreement.member import Member
 from mastledge.agreement.messages import decode, encode
 from mastledge.agreement.rules import wanted_voters
+from mastledge.agreement.timing import LEADER, PART
 from mastledge.lab.simulated import Simulated
 
 LEASE = 2_000_000
--- a/mastledge/program/fleet.py
+++ b/mastledge/program/fleet.py
@@ -13,8 +13,9 @@
 from mastledge.agreement import messages
 from mastledge.agreement.kept import Kept
 from mastledge.agreement.leases import longest
-from mastledge.agreement.member import LEADER, Member
+from mastledge.agreement.member import Member
 from mastledge.agreement.restrictions import OwnList
+from mastledge.agreement.timing import LEADER
 from mastledge.peers.links import Links
 from mastledge.program.beside import Notes
 from mastledge.program.settings import flat, plain_map
