--- a/mastledge/agreement/elections.py
+++ b/mastledge/agreement/elections.py
@@ -2,6 +2,7 @@
 
 from mastledge.agreement import messages as m
 from mastledge.agreement.leases import Leases
+from mastledge.agreement.relays import ADOPTED_LEASES
 from mastledge.agreement.timing import CANDIDATE, FEW, FOLLOWER, LEADER, MANY
 
 
@@ -107,7 +108,10 @@
         self.role, self.leader = LEADER, self.name
         self.leases = Leases(self.lease, now)
         self.next, self.match, self.echo, self.beat_at, self.newest, self.resent = {}, {}, {}, {}, {}, {}
-        self.won_at = now
+        self.won_at, self.processes, self.led_fan_out = now, {}, self.fan_out
+        # Who heard from here as a follower goes on doing so until it has found another relay.
+        self.adopted = {name: now + ADOPTED_LEASES * self.lease for name in self.children}
+        self.children, self.parent = {}, None
         self.event("leads", term=self.term, last=self.log.last)
         self.extend(m.Entry(self.term, "", {"kind": "noop"}))
         self.began = self.log.last
--- a/mastledge/agreement/following.py
+++ b/mastledge/agreement/following.py
@@ -14,14 +14,16 @@
         if append.term < self.term:
             self.ack(sender, False, 0)
             return
-        if self.leader != sender or append.term > self.term or self.role != FOLLOWER:
-            self.follow(append.term, sender)
-        self.heard_at, self.last_stamp = now, append.stamp
-        self.draw_election(now)
+        leader = append.leader or sender
+        if append.leader and (self.is_voter() or leader == self.name):
+            return  # voters hear the leader itself
+        if self.leader != leader or append.term > self.term or self.role != FOLLOWER:
+            self.follow(append.term, leader)
+        self.hear_of_leader(now, sender, append)
         for name, known in append.heard.items():
             self.remember(name, *known)
         for news in append.news:
-            self.out.append(("news", news))
+            self.hear_news(news)
         if (
             not self.rules
             or append.prev > self.log.last
@@ -50,8 +52,29 @@
         grant = append.grant - self.offset
         if self.started <= grant <= now and append.commit <= self.rules.applied and self.listens():
             self.lease_until = max(self.lease_until, grant + shortest(self.lease))
-        if not self.records or self.broken:
+            self.granted = max(self.granted, grant)
+        if self.answers(sender, append) and (not self.records or self.broken):
             self.ack(sender, True, append.stamp)
+        self.hurry_children()
+
+    def hear_of_leader(self, now, sender, message):
+        """Somebody has told of it: the leader itself, or a relay."""
+        self.heard_at, self.last_stamp, self.told_by = now, message.stamp, sender
+        self.draw_election(now)
+        if message.leader:
+            self.hear_relay(now, sender, (message.term, message.stamp))
+        if self.fan_out and isinstance(message, m.Append):
+            # What was to be heard there the last time, and was not, is told from here.
+            self.lists.reported(sender, message.lists)
+            for news in self.lists.news_for(sender):
+                self.send(sender, news)
+
+    def hear_news(self, news):
+        """Another's news of workers, for the host of this member."""
+        if self.fan_out:
+            news = self.lists.told(news)
+        if news is not None:
+            self.out.append(("news", news))
 
     def listens(self):
         """Whether this is a member in the life that the fleet knows."""
@@ -60,9 +83,7 @@
 
     def ack(self, to, yes, stamp):
         self.acked = self.safe
-        applied = self.rules.applied if self.rules else 0
-        if self.shown is not None:
-            applied = min(applied, self.shown)
+        applied = self.cover()
         # Up to what is agreed it is the leader's log; behind that it may not be.
         hint = self.commit if self.rules else 0
         self.send(
@@ -76,6 +97,8 @@
                 stamp,
                 self.now + self.offset,
                 hint,
+                self.process,
+                self.lists.generations() if self.fan_out else {},
             ),
         )
 
@@ -83,10 +106,12 @@
         if install.term < self.term:
             self.ack(sender, False, 0)
             return
-        if self.leader != sender or install.term > self.term or self.role != FOLLOWER:
-            self.follow(install.term, sender)
-        self.heard_at, self.last_stamp = now, install.stamp
-        self.draw_election(now)
+        leader = install.leader or sender
+        if install.leader and (self.is_voter() or leader == self.name):
+            return
+        if self.leader != leader or install.term > self.term or self.role != FOLLOWER:
+            self.follow(install.term, leader)
+        self.hear_of_leader(now, sender, install)
         if install.last > self.commit:
             if not self.fleet:
                 self.fleet = self.told_fleet(sender)
--- a/mastledge/agreement/leading.py
+++ b/mastledge/agreement/leading.py
@@ -9,6 +9,12 @@
 class Leading:
     """The part of `Member` that leads."""
 
+    def news_of(self, now, name):
+        """The news of workers that go with the next word to a member."""
+        if self.fan_out:
+            return self.lists.news_for(name)
+        return list(self.newest.values()) if now < self.news_until else []
+
     def take(self, id, change):
         """A leader takes a change, once. Changes of the members wait for the one before."""
         if not sound(change):
@@ -18,6 +24,9 @@
             return
         if id in self.rules.results:
             return
+        if change["kind"] == "relays" and (older := self.without_relays()):
+            self.event("relays_refused", members=older)
+            return
         if change["kind"] in MEMBERSHIP and not (self.settled() and self.remembers(change)):
             if len(self.waiting) < WAITING and all(waits != id for waits, _ in self.waiting):
                 self.waiting.append((id, change))
@@ -36,6 +45,10 @@
         if self.beat_at is not None:
             self.beat_at = dict.fromkeys(self.beat_at, 0)
 
+    def without_relays(self):
+        """Members of a version that knows no relays, or that have said nothing to this leader yet."""
+        return sorted(name for name in self.members() if name != self.name and not self.processes.get(name))
+
     def settled(self):
         """No change of the members is under way, and this leader has had an entry agreed (4.1, and its
         erratum).
@@ -52,7 +65,10 @@
         if ack.term > self.term:
             self.raise_term(ack.term)
             return
-        if self.role != LEADER or ack.term < self.term:
+        if self.role != LEADER:
+            self.child_acked(now, sender, life, ack)
+            return
+        if ack.term < self.term and not self.fan_out:
             return
         if not self.knows(sender, life):
             if sender in self.members():
@@ -62,11 +78,19 @@
                 return
             if not any(one["name"] == sender for one in self.gone()):
                 return
+        if not ack.process:
+            self.adopt(now, sender)  # an older version hears from nobody else
+        elif sender not in self.leases.holders and self.is_below(sender):
+            self.adopt(now, sender)
+        if ack.term < self.term:
+            return
+        self.lists.reported(sender, ack.lists)
+        self.processes[sender] = ack.process
         self.echo[sender] = max(self.echo.get(sender, 0), ack.stamp)
         if not ack.yes:
             self.next[sender] = min(ack.hint, self.next.get(sender, 1) - 1, self.log.last) + 1
             self.next[sender] = max(1, self.next[sender])
-            self.leases.heard(sender, now, ack.clock, ack.applied)
+            self.leases.heard(sender, now, ack.clock, ack.applied, ack.process)
             if ack.stamp and self.resent.get(sender) != ack.stamp:
                 self.resent[sender] = ack.stamp
                 self.beat_at[sender] = 0
@@ -75,13 +99,16 @@
         if ack.safe > self.match.get(sender, 0) and self.log.term(ack.safe) == ack.safe_term:
             self.match[sender] = ack.safe
         self.next[sender] = max(self.next.get(sender, 1), self.match.get(sender, 0) + 1)
-        self.leases.heard(sender, now, ack.clock, ack.applied)
+        self.leases.heard(sender, now, ack.clock, ack.applied, ack.process)
 
     def on_Propose(self, now, sender, life, propose):
         if self.role == LEADER:
             self.take(propose.id, propose.change)
 
     def on_News(self, now, sender, life, news):
+        if self.fan_out:
+            self.hear_news(news)
+            return
         if self.role == LEADER:
             last = self.newest.get(news.registry)
             if last is None or news.generation >= last.generation:
@@ -113,6 +140,11 @@
             self.beats(now, majority, now)
             self.follow(self.term, None)
             return
+        if self.fan_out != self.led_fan_out:
+            # Relays begin, and until they do their part the leader goes on speaking to each.
+            self.led_fan_out = self.fan_out
+            for name in self.members():
+                self.adopt(now, name)
         # Until an entry of its own term is agreed it does not know all that was agreed before.
         if majority > 0 and self.listens() and self.commit >= self.began:
             self.lease_until = max(self.lease_until, majority + shortest(self.lease))
@@ -123,19 +155,25 @@
         self.beats(now, majority, now)
 
     def enforce(self, now):
-        reached, over = self.commit, now
-        mine = self.rules.applied if self.shown is None else min(self.rules.applied, self.shown)
-        reached = min(reached, mine)
+        if self.fan_out:
+            reached, over = self.enforce_tree(now)
+        else:
+            reached, over = self.enforce_each(now)
+        self.left_until = over
+        if reached > self.in_force:
+            self.in_force = reached
+            self.hurry()
+
+    def enforce_each(self, now):
+        """(up to which entry all is in force, when the rest is at the latest)"""
+        reached, over = min(self.commit, self.cover()), now
         for name in {*self.rules.members, *self.members(), *(one["name"] for one in self.gone())}:
             if name != self.name:
                 at = self.leases.reached(name, now)
                 reached = reached if at is None else min(reached, at)
                 if at is not None and at < self.commit:
                     over = max(over, self.leases.over(name, self.commit))
-        self.left_until = over
-        if reached > self.in_force:
-            self.in_force = reached
-            self.hurry()
+        return reached, over
 
     def promote(self, now):
         members, voters = self.members(), self.voters()
@@ -159,7 +197,10 @@
         heard = {
             name: known for name, known in self.heard.items() if name in members and members[name]["votes"]
         }
-        for name in sorted({*members, *(one["name"] for one in self.gone())} - {self.name}):
+        names = self.direct(now) if self.fan_out else {*members, *(one["name"] for one in self.gone())}
+        for name in self.beat_at.keys() - names:
+            del self.beat_at[name]  # nobody wakes for it
+        for name in sorted(names - {self.name}):
             if self.beat_at.get(name, 0) > at:
                 continue
             voter = name in members and members[name]["votes"]
@@ -189,7 +230,9 @@
                     self.in_force,
                     max(0, self.left_until - now),
                     heard if voter else {},
-                    list(self.newest.values()) if now < self.news_until else [],
+                    self.news_of(now, name),
+                    "",
+                    self.lists.generations() if self.fan_out else {},
                 ),
             )
             self.next[name] = following + len(entries)
--- a/mastledge/agreement/leases.py
+++ b/mastledge/agreement/leases.py
@@ -23,12 +23,12 @@
 
 
 class Holder:
-    __slots__ = ("told", "grants", "applied", "given", "last")
+    __slots__ = ("told", "grants", "applied", "given", "last", "process")
 
     def __init__(self, until):
         # Each pair: the entry up to which the holder had to know to take the lease, and when it is over.
         self.told, self.grants, self.applied, self.given = deque((), KEPT), deque(((0, until),)), 0, 0
-        self.last = 0
+        self.last = self.process = 0
 
 
 class Leases:
@@ -41,8 +41,14 @@
             self.holders[name] = Holder(self.began + longest(self.lease))
         return self.holders[name]
 
-    def heard(self, name, now, clock, applied):
+    def heard(self, name, now, clock, applied, process=0):
+        """A holder has told its time and what it has applied; `process` as in `messages.Ack`."""
         holder = self.holder(name)
+        if process != holder.process:
+            # Another process of this name, on a clock of its own: what the one before had counts no more.
+            holder.told.clear()
+            holder.given = holder.applied = 0
+            holder.process, holder.last = process, clock
         holder.applied = max(holder.applied, applied)
         if clock < holder.last:
             # Another process of this name, on a clock of its own: what was told by the one before is not for
--- a/mastledge/agreement/member.py
+++ b/mastledge/agreement/member.py
@@ -15,6 +15,8 @@
 from mastledge.agreement.following import Following
 from mastledge.agreement.leading import Leading
 from mastledge.agreement.log import Log
+from mastledge.agreement.relays import Relaying
+from mastledge.agreement.restrictions import ListExchange
 from mastledge.agreement.rules import MEMBERSHIP, Rules, membership
 from mastledge.agreement.startup import Startup
 from mastledge.agreement.timing import (
@@ -32,13 +34,13 @@
 )
 
 
-class Member(Startup, Elections, Following, Leading):
+class Member(Startup, Elections, Following, Leading, Relaying):
     """`step(now, what, ...)` takes one input and gives a list of what follows from it; `wake_at()` when it
     must be called again with "time" at the latest.
 
     Inputs: ("time",); ("heard", sender, life, message); ("saved", token) and ("broken",) from the disk,
-    tokens in their order; ("propose", id, change); ("forget", id); ("restore", fleet, life,
-    state) and ("desert", life) by an operator.
+    tokens in their order; ("listed", registry, kind, entries, generation); ("propose", id,
+    change); ("forget", id); ("restore", fleet, life, state) and ("desert", life) by an operator.
     Outputs: ("send", to, message); ("save", token, records); ("rewrite", token, records): all that is on the
     disk is replaced by these; ("agreed", id, index, result); ("news", message); ("event", name, fields) for
     the log.
@@ -65,6 +67,12 @@
         # Times of another process of this name, which may run on the clock of before a restart, are none of
         # its.
         self.offset = crc32(fresh[0].encode()) << 16
+        self.process = crc32(fresh[0].encode()) or 1
+        self.lists = ListExchange()
+        self.children, self.passed = {}, None  # who hears from here, and the leases that came through here
+        self.granted = 0  # the latest time of one's own from which a lease was granted here
+        self.parent, self.told_by, self.joined_at, self.tried = None, None, now, 0
+        self.adopted, self.parent_mark, self.parent_at, self.parent_heard = {}, (0, 0), now, False
         self.words = {}  # when each other one has said anything last, and whether that its folder is empty
         self.forget_all(None)
         if kept:
@@ -195,7 +203,7 @@
                 self.broken, self.mend_at = False, None
                 self.event("disk_mended")
         if self.phase == PART and self.role == FOLLOWER and self.leader and self.acked < self.safe:
-            self.ack(self.leader, True, self.last_stamp)
+            self.ack(self.told_by or self.leader, True, self.last_stamp)
 
     def on_broken(self, now):
         """Nothing that depends on the disk is said from now on; what is heard is still acted on."""
@@ -224,7 +232,12 @@
 
     def on_passed(self, now, message):
         """News of workers that this one's own registry has told."""
-        self.on_News(now, self.name, self.life, message)
+        if not self.fan_out:
+            self.on_News(now, self.name, self.life, message)
+
+    def on_listed(self, now, registry, kind, entries, generation):
+        """This one's own registry has told a list or a change: entries as (worker, state)."""
+        self.lists.own(registry, kind, entries, generation)
 
     def hand_in(self, id, change):
         if self.role == LEADER:
@@ -277,6 +290,8 @@
             elif not self.listens() or not self.leader or now > self.heard_at + 2 * MANY * self.beat:
                 # Taken out while it was away, or known by another life: who leads has to be found.
                 self.ask(now)
+        self.look_for_relay(now)
+        self.relay(now)
 
     newest = resent = won_at = None
 
@@ -290,4 +305,5 @@
             # What is due already has been looked at in this very step.
             times = [max(self.now + 1_000, min(times))]
         times += [at for at in (self.mend_at, self.again_at) if at is not None]
+        times += self.relay_wakes_at()
         return min(times)
--- a/mastledge/agreement/messages.py
+++ b/mastledge/agreement/messages.py
@@ -75,8 +75,9 @@
 
     `stamp` is the leader's time, to be sent back. `grant` is the latest time of the receiver's own from
     which its lease runs, 0 for none; it holds only for who has applied `commit`. `left` is how long until
-    what is
-    agreed is in force, 0 where it is.
+    what is agreed is in force, 0 where it is. `leader`: who leads, where a relay passes this on; "" from the
+    leader itself.
+    `lists`: up to which generation the sender knows the list of each registry.
     """
 
     term: int
@@ -90,10 +91,15 @@
     left: int
     heard: dict[str, tuple[str, int, int, int]] = {}
     news: list["News"] = []
+    leader: str = ""
+    lists: dict[str, int] = {}
 
 
 class Ack(Message):
-    """`safe` is on the disk here, `applied` is acted on here; `hint`: where to send from after a no."""
+    """`safe` is on the disk here, `applied` is acted on here and by all that hear from this one; `hint`:
+    where to send from after a no. `process` tells one process of a member from the next; 0 where the version
+    knows no relays.
+    """
 
     term: int
     yes: bool
@@ -103,6 +109,8 @@
     stamp: int
     clock: int
     hint: int = 0
+    process: int = 0
+    lists: dict[str, int] = {}
 
 
 class Install(Message):
@@ -113,6 +121,7 @@
     last_term: int
     state: dict
     stamp: int
+    leader: str = ""
 
 
 class Propose(Message):
@@ -127,11 +136,15 @@
 
 
 class News(Message):
-    """Workers that a registry has told are draining or gone: (id, state); it has reached `generation`."""
+    """Workers that a registry has told are draining or gone: (id, state); it has reached `generation`.
+
+    `since`: only what has changed after this generation, also who is ready again; 0: all that are restricted.
+    """
 
     registry: str
     generation: int
     workers: list[tuple[str, str]]
+    since: int = 0
 
 
 ANY = Ask | Told | Form | Poll | Ballot | Append | Ack | Install | Propose | Lead | News
--- a/mastledge/agreement/rules.py
+++ b/mastledge/agreement/rules.py
@@ -4,11 +4,14 @@
 
 from copy import deepcopy
 
+from mastledge.agreement.patches import patched
+
 HISTORY = 64  # versions that can be looked at
 DOCUMENTS = 16  # settings that can be gone back to
 NAMES = 512  # of changes, by which one that came twice is known
 GONE = 8  # members that left and may still hold a lease
 FORMAT = 1
+LEAST_FAN_OUT, MOST_FAN_OUT = 2, 64  # members that hear from one
 
 
 def genesis(settings, lease, members):
@@ -64,13 +67,20 @@
 MEMBERSHIP = ("add", "remove", "life", "vote")
 COPIES = ("holds", "caught")  # who holds copies of keys; they make no version, as no operator asked for them
 MOST_COPIES = 7
-KINDS = ("noop", "settings", "out", "back", "copies", *MEMBERSHIP, *COPIES)
+KINDS = ("noop", "settings", "patch", "relays", "out", "back", "copies", *MEMBERSHIP, *COPIES)
+
+
+def fan_out_is_good(fan_out):
+    """Whether so many may hear from one member."""
+    return type(fan_out) is int and LEAST_FAN_OUT <= fan_out <= MOST_FAN_OUT
 
 
 def sound(change):
     """Whether a change from another process can be applied at all: one that can't would stop every member."""
     texts = {
         "settings": (),
+        "patch": (),
+        "relays": (),
         "out": ("worker",),
         "back": ("worker",),
         "copies": (),
@@ -85,6 +95,10 @@
         return False
     if change["kind"] == "settings":
         return isinstance(change.get("settings"), dict) and isinstance(change.get("expects"), int)
+    if change["kind"] == "patch":
+        return isinstance(change.get("changes"), list) and isinstance(change.get("expects"), int)
+    if change["kind"] == "relays":
+        return change.get("fan_out") == 0 or fan_out_is_good(change.get("fan_out"))
     if change["kind"] in COPIES:
         figures = ("starts", "count") if change["kind"] == "holds" else ("epoch",)
         return all(isinstance(change.get(figure), int) and change[figure] > 0 for figure in figures)
@@ -159,6 +173,23 @@
             del state["documents"][old]
         return "", 0
 
+    def on_patch(self, change):
+        """Settings that differ in some places; a place that is not there refuses all of it."""
+        if change["expects"] != self.state["settings_version"]:
+            return self.on_settings(change)
+        try:
+            settings = patched(self.state["settings"], change["changes"])
+        except ValueError as error:
+            return str(error), 400
+        return self.on_settings({**change, "settings": settings})
+
+    def on_relays(self, change):
+        """How many hear from one member; 0: all from the leader."""
+        if self.state.get("fan_out", 0) == change["fan_out"]:
+            return f"the fan-out is {change['fan_out']} already", 200
+        self.state["fan_out"] = change["fan_out"]
+        return "", 0
+
     def on_out(self, change):
         if change["worker"] in self.state["out"]:
             return "it is out already", 200
@@ -267,6 +298,8 @@
     kind = change["kind"]
     return {
         "settings": "settings",
+        "patch": "settings",
+        "relays": f"relays {change.get('fan_out')}",
         "out": f"out {change.get('worker')}",
         "back": f"back {change.get('worker')}",
         "copies": f"copies {change.get('count')}",
--- a/mastledge/agreement/startup.py
+++ b/mastledge/agreement/startup.py
@@ -46,6 +46,8 @@
         self.send(sender, m.Told(self.fleet, not self.fleet, self.form, self.digest, there, *heard))
         if self.role == LEADER and there and not self.knows(sender, life):
             self.admit(sender, life)
+        elif self.role == LEADER and there:
+            self.adopt(now, sender)
         elif (
             self.fleet
             and self.rules
@@ -116,6 +118,7 @@
         self.held, self.told, self.seen, self.lives, self.heard, self.waiting = [], {}, {}, {}, {}, []
         self.leader, self.votes, self.ballots, self.stopped = None, None, {}, ""
         self.lease_until = self.in_force = self.left_until = self.given = 0
+        self.forget_relays()
         self.begin(fleet, state)
         self.elect_at = now + self.beat
 
@@ -128,6 +131,7 @@
         self.held, self.told, self.seen, self.lives, self.heard, self.waiting = [], {}, {}, {}, {}, []
         self.leader, self.votes, self.ballots, self.stopped = None, None, {}, ""
         self.lease_until = self.in_force = self.left_until = 0
+        self.forget_relays()
         self.records, self.pending, self.phase, self.form = [], {}, EMPTY, False
         self.token += 1
         self.out.append(("rewrite", self.token, []))
--- a/mastledge/lab/bench.py
+++ b/mastledge/lab/bench.py
@@ -11,15 +11,13 @@
 import msgspec
 import numpy
 
-from mastledge.agreement.member import Member
-from mastledge.agreement.rules import genesis
 from mastledge.copies.kept import Kept, head
 from mastledge.copies.placement import ranked
 from mastledge.lab import outages
 from mastledge.lab.judge import judged
 from mastledge.lab.rig import LOOK, Rig
 from mastledge.lab.scenario import Clients, QueueType, Scenario, Workers
-from mastledge.lab.schedule import LEASE, Fleet
+from mastledge.lab.sized import grown
 from mastledge.lab.wire import call
 from mastledge.repeats.book import Book
 from mastledge.store.folder import Folder
@@ -359,35 +357,6 @@
     return out
 
 
-class Sized(Member):
-    """Keeps to the voters that it began with, however many follow."""
-
-    def promote(self, now):
-        pass
-
-
-def grown(voters, followers, seed):
-    """A fleet in simulated time, of so many voters and followers, all up and at rest."""
-    names = [f"n{n}" for n in range(voters)] + [f"x{n:03}" for n in range(followers)]
-    fleet = Fleet(names, seed, delay=500, drift=0.005, make=Sized)
-    fleet.check = lambda node: None  # the judge of schedules looks at all members at each step
-    state = genesis({"a": 1}, LEASE, {name: (address, f"{name}.0") for name, address in fleet.listed.items()})
-    for name, one in state["members"].items():
-        one["votes"] = name[0] == "n"
-    fleet.listed = {name: address for name, address in fleet.listed.items() if name[0] == "n"}
-    for name, node in fleet.nodes.items():
-        node.disk = [("identity", "f", f"{name}.0"), ("hard", 1, ""), ("snapshot", 1, 1, state)]
-    fleet.start()
-    if not fleet.run(30_000_000, lambda: rests(fleet)):
-        raise SystemExit("the fleet does not come to rest")
-    return fleet
-
-
-def rests(fleet):
-    leader = fleet.leader()
-    return leader is not None and leader.member.in_force == leader.member.log.last > 1
-
-
 def size(voters, followers, seed, tries=7):
     """Simulated: messages and bytes a second at rest, time to in force, time to a new leader."""
     fleet = grown(voters, followers, seed)
--- a/mastledge/lab/scale/command.py
+++ b/mastledge/lab/scale/command.py
@@ -26,6 +26,7 @@
     "seconds": "that are measured",
     "out": f"a folder for {FIGURES} and {PLOT}",
     "lease_ms": "as peers.lease_ms",
+    "fan_out": "members that hear from one relay; 0: all from the leader",
     "teams": "in the settings",
     "rack_at": "second at which a rack of workers goes; below 0: never",
     "zone_at": "second at which a zone of workers goes; below 0: never",
--- a/mastledge/lab/scale/hollow.py
+++ b/mastledge/lab/scale/hollow.py
@@ -1,7 +1,7 @@
 """Hollow dispatchers: the program's own agreement and links, without clients, decisions or a disk.
 
 `python -m mastledge.lab.scale.hollow FILE` hosts those that the file names, all on one loop, and ends
-when its standard input does. A line `leave` has those of them that lead hand the lead on.
+when its standard input does. A line `leave NAME` has the one of them that leads hand the lead to that member.
 """
 
 import json
@@ -14,8 +14,8 @@
 from mastledge.agreement.kept import Kept
 from mastledge.agreement.restrictions import OwnList
 from mastledge.agreement.timing import LEADER
-from mastledge.lab.bench import Sized
 from mastledge.lab.scale.delay import DelayedLinks
+from mastledge.lab.sized import Sized
 from mastledge.protocol.discovery import Discovery
 from mastledge.transport.budget import Budget
 from mastledge.transport.connection import address_of
@@ -96,12 +96,14 @@
 
     def listed(self, kind, entries, generation):
         """As `Fleet.listed`: the list is passed on as a whole dispatcher does it."""
+        self.input("listed", REGISTRY, kind, entries, generation)
         if self.own_list.listed(kind, entries, generation):
             self.input("passed", self.own_list.news(REGISTRY))
 
-    def leave(self):
+    def leave(self, successor):
+        """Hands the lead on, as a leader that ends does, but to a member that is named."""
         if self.member.role == LEADER:
-            self.input("leaves")
+            self.links.send(successor, messages.encode(messages.Lead(self.member.term)))
 
 
 def commands(loop, hosted):
@@ -115,9 +117,10 @@
             loop.running = False
             return
         *lines, held = (held + got).split(b"\n")
-        if LEAVE in lines:
-            for one in hosted:
-                one.leave()
+        for line in lines:
+            word, _, name = line.partition(b" ")
+            for one in hosted if word == LEAVE else ():
+                one.leave(name.decode())
 
 
 def followed(loop, address, hosted):
--- a/mastledge/lab/scale/meter.py
+++ b/mastledge/lab/scale/meter.py
@@ -191,7 +191,7 @@
 
 def hold_voters():
     """The voters stay those that the run began with."""
-    from mastledge.lab.bench import Sized
+    from mastledge.lab.sized import Sized
     from mastledge.program import fleet
 
     fleet.Member = Sized
--- a/mastledge/lab/scale/options.py
+++ b/mastledge/lab/scale/options.py
@@ -4,6 +4,8 @@
 import os
 from dataclasses import asdict, dataclass
 
+from mastledge.agreement.rules import MOST_FAN_OUT
+
 MOST_PROCESSES = 300
 MEMORY_SHARE = 0.5  # of the machine's memory, at most
 MOST_DISPATCHERS = 1024
@@ -48,6 +50,7 @@
     seed: int = 1
     out: str = ""
     lease_ms: int = 2000
+    fan_out: int = 0
     teams: int = 43
     rack_at: float = -1.0
     zone_at: float = -1.0
@@ -102,6 +105,7 @@
         "seconds": (1, MOST_SECONDS),
         "seed": (0, 1 << 32),
         "lease_ms": LEASE_MS,
+        "fan_out": (0, MOST_FAN_OUT),
         "teams": (0, 1000),
         "rack_at": (-1, MOST_SECONDS),
         "zone_at": (-1, MOST_SECONDS),
@@ -114,6 +118,8 @@
         raise BadOptions("--out is missing: a folder for scale.json and the plot")
     if options.dispatchers > MOST_DISPATCHERS:
         raise BadOptions(f"--real and --hollow are {options.dispatchers} together, over {MOST_DISPATCHERS}")
+    if options.fan_out == 1:
+        raise BadOptions("--fan-out is 1: 0, or from 2 on")
     if options.voters % 2 == 0:
         raise BadOptions(f"--voters is even: {options.voters}")
     if options.voters > options.dispatchers:
--- a/mastledge/lab/scale/run.py
+++ b/mastledge/lab/scale/run.py
@@ -259,7 +259,7 @@
             name = await self.leader()
             if name and name not in self.nodes:
                 for host in self.hollow:
-                    host.say("leave")
+                    host.say(f"leave {self.fleet[0].name}")
                 await asyncio.sleep(1.0)
             return name in self.nodes
 
--- a/mastledge/lab/scale/topology.py
+++ b/mastledge/lab/scale/topology.py
@@ -78,6 +78,8 @@
     state = genesis(settings, options.lease_ms * 1000, members)
     for one in fleet:
         state["members"][one.name]["votes"] = one.votes
+    if options.fan_out:
+        state["fan_out"] = options.fan_out
     return state
 
 
--- a/mastledge/program/fleet.py
+++ b/mastledge/program/fleet.py
@@ -14,7 +14,9 @@
 from mastledge.agreement.kept import Kept
 from mastledge.agreement.leases import longest
 from mastledge.agreement.member import Member
+from mastledge.agreement.patches import difference
 from mastledge.agreement.restrictions import OwnList
+from mastledge.agreement.rules import LEAST_FAN_OUT, MOST_FAN_OUT, fan_out_is_good
 from mastledge.agreement.timing import LEADER
 from mastledge.peers.links import Links
 from mastledge.program.beside import Notes
@@ -32,6 +34,7 @@
 OWN = ("me", "locality")  # settings that are a dispatcher's own, and stand in its file
 RETELL = 2_500_000  # between two times that the list's restrictions are told again
 CHANGES = 64  # of one process, under way
+MOST_NAMED = 5  # names in one message
 ASKED = b"\xc1R"  # begins what a dispatcher that starts asks, and the answers to it
 
 
@@ -343,7 +346,9 @@
         on.
         """
         brief = [(entry[0], entry[3]) for entry in entries]
-        if self.own_list.listed(kind, brief, self.program.discovery.generation):
+        generation = self.program.discovery.generation
+        self.input("listed", self.registry(), kind, brief, generation)
+        if self.own_list.listed(kind, brief, generation):
             self.pass_on()
         self.take_news()
 
@@ -421,6 +426,7 @@
             "/api/settings": {b"GET": self.settings, b"POST": self.change_settings},
             "/api/settings/": {b"GET": self.settings_of},
             "/api/members": {b"POST": self.change_members},
+            "/api/relays": {b"POST": self.change_relays},
             "/api/snapshot": {b"GET": self.snapshot},
             "/api/restore": {b"POST": self.restore},
         }
@@ -453,6 +459,9 @@
                 "term": member.term,
                 "leader": member.leader or "",
                 "leads": member.role == LEADER,
+                "fan_out": member.fan_out,
+                "relay": member.parent or "" if member.fan_out and not member.is_voter() else "",
+                "heard_by": sorted(member.children),
                 "lease_left_ms": left // 1000,
                 "lease_ms": member.lease // 1000,
                 "members": state["members"] if state else {},
@@ -504,9 +513,31 @@
             self.whole(document, state)
         except (ValueError, TypeError, AttributeError) as error:
             raise No(400, str(error)) from None
-        result = yield from self.changed({"kind": "settings", "settings": document, "expects": int(expects)})
+        result = yield from self.changed(self.settings_change(state, document, int(expects)))
         return result
 
+    def settings_change(self, state, document, expects):
+        """The whole document, or only what differs where all members know that form."""
+        changes = difference(state["settings"], document) if state.get("fan_out") else None
+        if changes:
+            return {"kind": "patch", "changes": changes, "expects": expects}
+        return {"kind": "settings", "settings": document, "expects": expects}
+
+    def change_relays(self, request):
+        """How many dispatchers hear from one; 0: all from the leader."""
+        member = self.speaking()
+        try:
+            fan_out = orjson.loads(request.body)["fan_out"]
+            if fan_out != 0 and not fan_out_is_good(fan_out):
+                raise ValueError(f"the fan-out is neither 0 nor from {LEAST_FAN_OUT} to {MOST_FAN_OUT}")
+        except (ValueError, KeyError, TypeError) as error:
+            raise No(400, f"{type(error).__name__}: {error}") from None
+        if member.role != LEADER:
+            raise No(409, f"ask the leader: {member.leader or 'nobody leads'}")
+        if older := member.without_relays():
+            raise No(409, f"not heard, or of a version without relays: {', '.join(older[:MOST_NAMED])}")
+        return (yield from self.changed({"kind": "relays", "fan_out": fan_out}))
+
     def change_members(self, request):
         try:
             change = orjson.loads(request.body)
--- /dev/null
+++ b/tests/test_relays.py
@@ -0,0 +1,284 @@
+"""Relays: schedules of faults, wrong builds that the judge catches, and what is decided where."""
+
+import pytest
+
+from mastledge.agreement import messages as m
+from mastledge.agreement.patches import difference, patched
+from mastledge.agreement.relays import Tree
+from mastledge.agreement.restrictions import ListExchange, ListKnowledge
+from mastledge.agreement.rules import Rules, genesis
+from mastledge.lab import relaying
+from mastledge.lab.schedule import LEASE, Broken, Fleet
+from mastledge.lab.sized import Sized, begun, rests
+
+SEEDS = 60
+TRIED = 300  # schedules after which a wrong build has to be caught
+
+
+def members(voters, followers):
+    names = [f"n{n}" for n in range(voters)] + [f"x{n:04}" for n in range(followers)]
+    return {name: {"votes": name[0] == "n", "life": "l", "address": name} for name in names}
+
+
+@pytest.mark.parametrize(("count", "fan_out", "widths"), [
+    (0, 6, [7]), (42, 6, [7, 42]), (223, 6, [7, 42, 181]), (993, 12, [7, 84, 909])])
+def test_each_follower_has_relays_of_the_level_above_and_no_more_than_its_part_hear_from_one(
+    count, fan_out, widths
+):
+    tree = Tree(members(7, count), fan_out)
+    assert [len(names) for names in tree.levels] == widths
+    heard_by = {}
+    for name, (level, _) in tree.places.items():
+        relays = tree.relays(name, "n0")
+        assert set(relays) <= set(tree.levels[level - 1]) - {"n0"} and bool(relays) == bool(level)
+        if relays:
+            heard_by.setdefault(relays[0], []).append(name)
+    assert max(map(len, heard_by.values()), default=0) <= 2 * fan_out
+
+
+def test_relays_stay_who_they_are_for_most_when_one_member_leaves():
+    before, some = Tree(members(7, 223), 6), members(7, 223)
+    del some["x0100"]
+    after = Tree(some, 6)
+    moved = sum(before.relays(name, "n0")[0] != after.relays(name, "n0")[0] for name in after.places
+                if after.level(name) and before.level(name))
+    assert before.levels[0] == after.levels[0] and len(set(before.levels[1]) ^ set(after.levels[1])) <= 2
+    assert moved <= len(after.places)
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_no_rule_is_broken_by_a_fleet_with_relays_under_faults(seed):
+    relaying.judged(seed)
+
+
+# Builds that are wrong on purpose: one for each rule that relays stand on
+
+
+class Generous(Sized):
+    """A relay grants from the moment that a child has told its time, whatever it was granted itself."""
+
+    def tell_child(self, now, name, child):
+        granted, self.granted = self.granted, now
+        super().tell_child(now, name, child)
+        self.granted = granted
+
+
+class Boastful(Sized):
+    """A relay reports what it has applied itself, whatever its children have."""
+
+    def cover(self):
+        return self.rules.applied if self.rules else 0
+
+
+class Hasty(Sized):
+    """A leader does not wait out what was granted under the one before."""
+
+    def enforce_tree(self, now):
+        self.won_at -= 10 * self.lease
+        try:
+            return super().enforce_tree(now)
+        finally:
+            self.won_at += 10 * self.lease
+
+
+class Forgetful(Sized):
+    """A new process of a relay takes it that the one before had granted to nobody."""
+
+    def cover(self):
+        started, self.started = self.started, self.started - 10 * self.lease
+        try:
+            return super().cover()
+        finally:
+            self.started = started
+
+
+class Credulous(Sized):
+    """A follower takes a lease without what was agreed when it was granted."""
+
+    def on_Append(self, now, sender, life, append):
+        super().on_Append(now, sender, life, append)
+        grant = append.grant - self.offset
+        if append.leader and self.started <= grant <= now and self.listens():
+            self.lease_until = max(self.lease_until, grant + self.lease - self.lease // 100)
+
+
+class Early(Sized):
+    """A relay passes on what is not agreed yet as if it were."""
+
+    def tell_child(self, now, name, child):
+        commit, self.commit = self.commit, self.log.last
+        try:
+            super().tell_child(now, name, child)
+        finally:
+            self.commit = commit
+
+
+class Mute(Sized):
+    """A relay keeps to itself what it hears of lists."""
+
+    def hear_news(self, news):
+        if not self.children:
+            super().hear_news(news)
+
+
+@pytest.mark.parametrize("build", [Generous, Boastful, Hasty, Forgetful, Early, Mute])
+def test_a_wrong_build_is_caught(build):
+    for seed in range(TRIED):
+        try:
+            relaying.judged(seed, make=build)
+        except Broken:
+            return
+    pytest.fail("not caught")
+
+
+# What is decided where
+
+
+def test_the_leader_speaks_to_the_voters_alone_and_all_hold_leases():
+    fleet = begun(5, 60, 3, 4)
+    assert fleet.run(60_000_000, lambda: rests(fleet) and all(
+        node.member.may_act(node.clock()) for node in fleet.nodes.values()))
+    fleet.run(fleet.now + 2 * LEASE)
+    leader, told, send = fleet.leader(), set(), Fleet.send
+
+    def noted(node, to, message):
+        if node is leader:
+            told.add(to)
+        send(fleet, node, to, message)
+
+    fleet.send = noted
+    fleet.run(fleet.now + 2 * LEASE)
+    assert told == {name for name in fleet.nodes if name[0] == "n"} - {leader.name}
+    assert max(len(node.member.children) for node in fleet.nodes.values()) <= 4 * 4
+
+
+@pytest.mark.parametrize("victim", [0, 1])
+def test_nobody_is_without_a_lease_for_long_when_a_relay_is_killed(victim):
+    fleet = begun(3, 24, 5, 3)
+    assert fleet.run(60_000_000, lambda: rests(fleet))
+    fleet.run(fleet.now + 30_000_000)
+    leader = fleet.leader()
+    relay = next(name for name in leader.member.tree().levels[victim]
+                 if fleet.nodes[name].member.children and name != leader.name)
+    fleet.nodes[relay].crash()
+    without = dict.fromkeys(fleet.nodes, 0)
+    for _ in range(300):
+        fleet.run(fleet.now + 20_000)
+        for name, node in fleet.nodes.items():
+            if name != relay and not node.member.may_act(node.clock()):
+                without[name] += 20_000
+    assert max(without.values()) <= LEASE // 2, without
+
+
+def test_relays_are_turned_on_and_off_by_a_change():
+    fleet = begun(3, 9, 7)
+    assert fleet.run(60_000_000, lambda: rests(fleet))
+    for fan_out in (2, 0):
+        fleet.run(fleet.now + 3_000_000)
+        leader = fleet.leader()
+        fleet.propose(leader.name, f"relays{fan_out}", {"kind": "relays", "fan_out": fan_out})
+        assert fleet.run(fleet.now + 20_000_000, lambda n=fan_out: all(
+            node.member.fan_out == n and node.member.may_act(node.clock())
+            for node in fleet.nodes.values()) and rests(fleet))
+        assert fleet.run(fleet.now + 20_000_000, lambda n=fan_out: bool(n) == any(
+            node.member.children for node in fleet.nodes.values()))
+
+
+class Older(Sized):
+    """A version that knows no relays: its words have none of the fields that were added."""
+
+    def step(self, now, what, *fields):
+        out = super().step(now, what, *fields)
+        for n, output in enumerate(out):
+            if output[0] == "send" and isinstance(output[2], m.Ack):
+                ack = output[2]
+                older = m.Ack(ack.term, ack.yes, ack.safe, ack.safe_term, ack.applied, ack.stamp, ack.clock,
+                              ack.hint)
+                out[n] = ("send", output[1], older)
+        return out
+
+
+def test_relays_are_refused_while_a_member_of_an_older_version_is_there():
+    fleet = begun(3, 4, 9)
+    assert fleet.run(60_000_000, lambda: rests(fleet))
+    fleet.make = Older
+    node = fleet.nodes["x0001"]
+    node.crash()
+    node.start()
+    assert fleet.run(fleet.now + 20_000_000, lambda: node.up and node.member.may_act(node.clock()))
+    fleet.run(fleet.now + 1_000_000)
+    leader = fleet.leader()
+    assert leader.member.without_relays() == ["x0001"]
+    fleet.propose(leader.name, "on", {"kind": "relays", "fan_out": 2})
+    fleet.run(fleet.now + 3_000_000)
+    assert leader.member.fan_out == 0 and all(one.member.may_act(one.clock()) for one in fleet.nodes.values())
+
+
+def test_a_member_of_an_older_version_that_comes_back_hears_from_the_leader():
+    fleet = begun(3, 6, 11, 2)
+    assert fleet.run(60_000_000, lambda: rests(fleet))
+    fleet.make = Older
+    node = fleet.nodes["x0001"]
+    node.crash()
+    node.start()
+    assert fleet.run(fleet.now + 20_000_000, lambda: node.up and node.member.may_act(node.clock()))
+
+
+def test_messages_of_a_version_without_relays_are_read():
+    raw = m.encode(["Ack", 1, True, 2, 1, 2, 3, 4, 0])
+    assert m.decode(raw) == m.Ack(1, True, 2, 1, 2, 3, 4, 0)
+    raw = m.encode(["Append", 1, 2, 1, [], 2, 5, 0, 2, 0, {}, []])
+    assert m.decode(raw).leader == "" and m.decode(raw).lists == {}
+
+
+@pytest.mark.parametrize(("before", "after", "changes"), [
+    ({"a": 1, "b": [1, {"c": 2}]}, {"a": 1, "b": [1, {"c": 3}]}, [[["b", 1, "c"], 3]]),
+    ({"a": 1}, {"a": 1}, []),
+    ({"a": {"b": 1}}, {"a": {"c": 1}}, [[["a"], {"c": 1}]]),
+    ({"a": [1]}, {"a": [1, 2]}, [[["a"], [1, 2]]]),
+    ({"a": 1}, {"a": True}, [[["a"], True]]),
+    ({"a": 1}, {"b": 1}, None)])
+def test_settings_differ_in_places(before, after, changes):
+    assert difference(before, after) == changes
+    if changes is not None:
+        assert patched(before, changes) == after
+
+
+def test_a_patch_counts_as_the_whole_document_does_and_one_that_does_not_fit_changes_nothing():
+    rules = Rules(genesis({"a": {"b": 1}}, LEASE, {"n0": ("x:1", "l")}), 1)
+
+    def change(index, changes, expects):
+        return rules.apply(index, m.Entry(1, f"c{index}", {
+            "kind": "patch", "changes": changes, "expects": expects}))
+
+    assert change(2, [[["a", "b"], 2]], 1) == {"version": 2}
+    assert rules.state["settings"] == {"a": {"b": 2}} and rules.state["documents"]["2"] == {"a": {"b": 2}}
+    assert change(3, [[["a", "x"], 2]], 2)["status"] == 400
+    assert change(4, [[["a", "b"], 3]], 1)["status"] == 412
+    assert rules.state["settings"] == {"a": {"b": 2}} and rules.state["documents"]["1"] == {"a": {"b": 1}}
+
+
+def test_who_is_behind_gets_what_has_changed_since_and_who_is_not_gets_nothing():
+    ours, theirs = ListExchange(), ListExchange()
+    ours.own("r", "whole", [("w0", "ready"), ("w1", "draining")], 5)
+    ours.reported("them", theirs.generations())
+    assert ours.news_for("them") == []  # its own watch may tell it meanwhile
+    (news,) = ours.news_for("them")
+    assert theirs.told(news) == m.News("r", 5, [("w1", "draining")])
+    ours.own("r", "changes", [("w1", "ready"), ("w2", "gone")], 6)
+    ours.reported("them", theirs.generations())
+    ours.news_for("them")
+    (news,) = ours.news_for("them")
+    assert news == m.News("r", 6, [("w1", "ready"), ("w2", "gone")], 5)
+    assert theirs.told(news) == m.News("r", 6, [("w2", "gone")])
+    assert theirs.told(news) is None
+    ours.reported("them", theirs.generations())
+    assert ours.news_for("them") == []
+
+
+def test_news_that_do_not_join_on_are_not_taken():
+    known = ListKnowledge()
+    known.own("whole", [("w0", "draining")], 3)
+    assert not known.told(m.News("r", 9, [("w1", "gone")], 5)) and known.generation == 3
+    assert known.told(m.News("r", 9, [("w1", "gone")]))
+    assert known.since(2, "r") == m.News("r", 9, [("w1", "gone")])
