--- a/mastledge/program/asked.py
+++ b/mastledge/program/asked.py
@@ -80,6 +80,9 @@
         )
         + ("" if state["disk"] == "good" else "; its disk fails")
     )
+    if state.get("fan_out"):
+        heard = f"hears from {state['relay']}" if state["relay"] else "hears from the leader"
+        print(f"relays of {state['fan_out']}: {heard}, heard by {len(state['heard_by'])}")
     for name, member in sorted(state["members"].items()):
         role = "votes" if member["votes"] else ("follows" if member["life"] else "has not come yet")
         print(f"  {name}  {member['address']}  {role}")
@@ -199,6 +202,13 @@
     return changed(args, "/api/members", orjson.dumps({"kind": "remove", "name": args.name}))
 
 
+def relays(args):
+    """How many hear from one dispatcher; the leader alone takes it."""
+    if not args.fan_out.isdecimal():
+        raise BadConfiguration(f"no fan-out: {args.fan_out}")
+    return changed(args, "/api/relays", orjson.dumps({"fan_out": int(args.fan_out)}))
+
+
 def snapshot(args):
     """Written beside and renamed, so that a file of this name is a whole one."""
     status, _, text = call(args, "GET", "/api/snapshot")
@@ -261,6 +271,7 @@
         (rollback, "the settings of an earlier version again", (("version", None),)),
         (add, "a further dispatcher", (("name", None), ("address", None))),
         (remove, "a dispatcher leaves for good", (("name", None),)),
+        (relays, "so many hear from one dispatcher; 0: all from the leader", (("fan_out", None),)),
         (snapshot, "write what is agreed to a file", (("file", None),)),
         (restore, "begin again with a snapshot, after a majority is lost", (("file", None),)),
         (form, "begin again with what this dispatcher keeps, after a majority is lost", ()),
--- a/mastledge/program/command.py
+++ b/mastledge/program/command.py
@@ -37,8 +37,16 @@
     return 0
 
 
+class Parser(argparse.ArgumentParser):
+    """Says in one line what can't be read of a call; status 2."""
+
+    def error(self, message):
+        print(f"mastledge: {message}", file=sys.stderr)
+        raise SystemExit(2)
+
+
 def parser(words=()):
-    top = argparse.ArgumentParser(prog="mastledge", description="A dispatcher that pushes jobs to workers.")
+    top = Parser(prog="mastledge", description="A dispatcher that pushes jobs to workers.")
     commands = top.add_subparsers(dest="command", required=True, metavar="COMMAND")
     for call, about in ((serve, "run one dispatcher until SIGTERM"),
                         (check, "read the configuration and say whether it is good"),
@@ -62,6 +70,7 @@
             from mastledge.lab.command import add
         except ImportError as error:
             lab = commands.add_parser("lab", help=f"not installed: {error.name}")
+            lab.add_argument("rest", nargs=argparse.REMAINDER, help=argparse.SUPPRESS)
             lab.set_defaults(call=lambda args, name=error.name: missing(name))
         else:
             add(commands)
@@ -69,7 +78,7 @@
 
 
 def missing(name):
-    print(f"mastledge: the laboratory needs {name}: pip install -r requirements-dev.txt", file=sys.stderr)
+    print(f"mastledge: the laboratory needs {name}: pip install -r requirements-lab.txt", file=sys.stderr)
     return 2
 
 
@@ -83,6 +92,12 @@
     except BadConfiguration as error:
         print(f"mastledge: {error}", file=sys.stderr)
         return 2
+    except ModuleNotFoundError as error:
+        if (error.name or "").partition(".")[0] == "mastledge":
+            raise
+        # Only dispatchers that agree need more than a dispatcher alone.
+        print(f"mastledge: peers needs {error.name}: pip install -r requirements-fleet.txt", file=sys.stderr)
+        return 2
     except OSError as error:
         print(f"mastledge: cannot serve: {error}", file=sys.stderr)
         return 1
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -3,6 +3,8 @@
 import os
 import signal
 import socket
+import subprocess
+import sys
 
 import helpers
 import orjson
@@ -382,3 +384,18 @@
 
 def test_a_host_without_messages_never_asks_for_one():
     assert phases.handed({"may_message": True, "queue_types": []})["may_message"] is False
+
+
+@pytest.mark.parametrize(("hidden", "words", "says"), [
+    ("msgspec", ["serve"], "peers needs msgspec: pip install -r requirements-fleet.txt"),
+    ("numpy", ["lab", "names"], "the laboratory needs numpy: pip install -r requirements-lab.txt")])
+def test_a_package_that_is_missing_is_one_line(hidden, words, says, tmp_path):
+    (tmp_path / "hidden").mkdir()
+    (tmp_path / "hidden" / f"{hidden}.py").write_text(f"raise ModuleNotFoundError(name={hidden!r})\n")
+    peers = {"listen": f"{HERE}:1", "members": {"n0": f"{HERE}:1"}, "folder": str(tmp_path / "kept")}
+    if words == ["serve"]:
+        words = ["serve", "--config", str(file(tmp_path, name="n0", peers=peers))]
+    env = {**os.environ, "PYTHONPATH": str(tmp_path / "hidden")}
+    done = subprocess.run([sys.executable, "-B", "-m", "mastledge", *words], capture_output=True, text=True,
+                          env=env)
+    assert done.returncode == 2 and done.stderr == f"mastledge: {says}\n"
