--- a/mastledge/adapter/__main__.py
+++ b/mastledge/adapter/__main__.py
@@ -10,8 +10,16 @@
 
 STATE = {0: "gone", 1: "ready", 2: "draining"}
 LIST = {0: "changes", 1: "whole", 2: "cached", 3: "failed"}
-ENDING = {200: "completed", 500: "error", 503: "full", 504: "timeout", 502: "unreachable", 598: "lost",
-          499: "revoked", 410: "unsent"}
+ENDING = {
+    200: "completed",
+    500: "error",
+    503: "full",
+    504: "timeout",
+    502: "unreachable",
+    598: "lost",
+    499: "revoked",
+    410: "unsent",
+}
 
 
 def ending(at, code):
@@ -64,7 +72,8 @@
         number, offset, size = fields
         rows = []
         for zone, wkr, state, born, kind, cell, units in wire.entries(
-                wire.tail_part(body, count, at, offset, size * wire.ENTRY.size, "list entries")):
+            wire.tail_part(body, count, at, offset, size * wire.ENTRY.size, "list entries")
+        ):
             if state not in STATE:
                 raise wire.BadFrame(f"record {at}: unknown worker state {state}")
             rows.append((zone, wkr, STATE[state], span(at, "start time", born), kind, cell, units))
@@ -84,8 +93,17 @@
             _, job, hint, key, qtype, bits, width, tenant, patience, memory = fields
             if qtype >= len(balancer.queue_types):
                 raise wire.BadFrame(f"record {at}: unknown queue type {qtype}")
-            balancer.arrived(now, job, qtype, span(at, "hint", hint) if bits & 1 else 0, key, width or 1.0,
-                             memory, tenant, span(at, "patience", patience))
+            balancer.arrived(
+                now,
+                job,
+                qtype,
+                span(at, "hint", hint) if bits & 1 else 0,
+                key,
+                width or 1.0,
+                memory,
+                tenant,
+                span(at, "patience", patience),
+            )
         elif code == wire.DUE:
             if self.timers.get(fields[0]) is not None and self.timers[fields[0]] <= now:
                 self.timers[fields[0]] = None
--- a/mastledge/adapter/frames.py
+++ b/mastledge/adapter/frames.py
@@ -9,7 +9,19 @@
 RECORD, ACTION = 56, 24
 
 NEW, END, NOTE, DUE, POOL, MEMBERSHIP, POWER_ON, TEARDOWN, STARTED, ABANDONED, ECHO, INBOX = (
-    10, 12, 9, 8, 4, 11, 7, 6, 2, 1, 3, 5)
+    10,
+    12,
+    9,
+    8,
+    4,
+    11,
+    7,
+    6,
+    2,
+    1,
+    3,
+    5,
+)
 EVENTS = {
     NEW: Struct(">IIdQHHfHdf"),
     END: Struct(">II6sdBIBHB4f"),
@@ -62,7 +74,7 @@
     start = count * RECORD + offset
     if start + size > len(body):
         raise BadFrame(f"record {at}: {what} at {offset}, {size} bytes, lies outside the tail")
-    return body[start:start + size]
+    return body[start : start + size]
 
 
 def events(body, count):
--- a/mastledge/lab/bench.py
+++ b/mastledge/lab/bench.py
@@ -142,9 +142,7 @@
         repeats=repeats or {},
         dispatchers=dispatchers,
         workers=Workers(count=6, slots=20, run_ms=(5, 15)),
-        clients=Clients(
-            per_second=per_second, retries=0, keyed=keyed, queue_types=[QueueType(name="read")]
-        ),
+        clients=Clients(per_second=per_second, retries=0, keyed=keyed, queue_types=[QueueType(name="read")]),
     )
 
     async def play(rig):
--- a/mastledge/lab/command.py
+++ b/mastledge/lab/command.py
@@ -263,8 +263,12 @@
             command.add_argument("--only", metavar="WORD", default="", help="of whose name it is a part")
             command.add_argument("--jobs", type=int, default=2, help="runs at once")
         elif call is cross:
-            command.add_argument("places", metavar="PLACE|SCRIPT", nargs="*",
-                                 help="a script is replayed; none: all of " + ", ".join(crossing.PLACES))
+            command.add_argument(
+                "places",
+                metavar="PLACE|SCRIPT",
+                nargs="*",
+                help="a script is replayed; none: all of " + ", ".join(crossing.PLACES),
+            )
             command.add_argument("--depth", type=int, default=2, help="steps; above 2 drawn by the seed")
             command.add_argument("--count", type=int, default=100, help="of those drawn, a place and effect")
             command.add_argument("--jobs", type=int, default=2, help="processes")
--- a/mastledge/lab/crossing.py
+++ b/mastledge/lab/crossing.py
@@ -22,8 +22,12 @@
 from mastledge.program.phases import Program
 
 # Each with whether launches may be revoked.
-EFFECTS = {"restartable": ("pure", True), "run-once": ("side_effect", True), "deduplicated": ("token", True),
-           "unrevoked": ("pure", False)}
+EFFECTS = {
+    "restartable": ("pure", True),
+    "run-once": ("side_effect", True),
+    "deduplicated": ("token", True),
+    "unrevoked": ("pure", False),
+}
 BUSY = 150_000  # for which the loop stood still where two steps come at once
 FOUND = 3  # scripts that are told of a rule at a place
 OWN = 6  # tasks and timers of the program itself, at rest
@@ -63,13 +67,15 @@
         self.sock = socket.create_connection(stage.told["listen"], 2)
         self.sock.setblocking(False)
         body = b"x"
-        head = (f"POST /render HTTP/1.1\r\nHost: h\r\nX-Txn: {job}\r\nX-Remaining-Ms: {WALLTIME // 1000}\r\n"
-                f"Idempotency-Key: {key}\r\nContent-Length: 1\r\n\r\n")
+        head = (
+            f"POST /render HTTP/1.1\r\nHost: h\r\nX-Txn: {job}\r\nX-Remaining-Ms: {WALLTIME // 1000}\r\n"
+            f"Idempotency-Key: {key}\r\nContent-Length: 1\r\n\r\n"
+        )
         self.unsent = head.encode() + body
 
     def sends(self, most=None):
         part = self.unsent[:most]
-        self.unsent = self.unsent[len(part):]
+        self.unsent = self.unsent[len(part) :]
         try:
             self.sock.send(part)
         except OSError:
@@ -86,8 +92,15 @@
         if part and self.got.startswith(b"HTTP/1.1 100"):
             self.got = self.got.partition(b"\r\n\r\n")[2]
         if part and b"\r\n\r\n" in self.got:
-            self.stage.note("answer", job=self.job, key="", status=int(self.got.split()[1]), who="n0",
-                            type="render", result=self.got.partition(b"\r\n\r\n")[2].decode())
+            self.stage.note(
+                "answer",
+                job=self.job,
+                key="",
+                status=int(self.got.split()[1]),
+                who="n0",
+                type="render",
+                result=self.got.partition(b"\r\n\r\n")[2].decode(),
+            )
             self.stage.answers[self.job] = self.stage.answers.get(self.job, 0) + 1
             self.got = b""
         if not part:
@@ -198,29 +211,72 @@
         return f"{self.host}:{sock.getsockname()[1]}"
 
     def configure(self, agent):
-        rules = {"coldFrom": 0.3, "coldMs": 50.0, "fallMs": 1000.0, "fallMultiple": 3.0,
-                 "stopSendingWithinMs": GRACE / 1000}
-        kind = {"name": "render", "targetTurnaroundMs": 3000.0, "walltimeMs": WALLTIME / 1000,
-                "idempotency": EFFECTS[self.effect][0], "dedupScope": "zone", "windowMs": WINDOW / 1000}
-        settings = {"balancers": 4, "me": 0, "stepMs": 4.0, "discovery": "pushed", "rules": rules,
-                    "limits": {"maxLaunches": 5, "cancel": EFFECTS[self.effect][1],
-                               "connectTimeoutMs": TIMEOUT / 1000},
-                    "familyInfo": {"tellsStart": True}, "queueTypes": [kind]}
+        rules = {
+            "coldFrom": 0.3,
+            "coldMs": 50.0,
+            "fallMs": 1000.0,
+            "fallMultiple": 3.0,
+            "stopSendingWithinMs": GRACE / 1000,
+        }
+        kind = {
+            "name": "render",
+            "targetTurnaroundMs": 3000.0,
+            "walltimeMs": WALLTIME / 1000,
+            "idempotency": EFFECTS[self.effect][0],
+            "dedupScope": "zone",
+            "windowMs": WINDOW / 1000,
+        }
+        settings = {
+            "balancers": 4,
+            "me": 0,
+            "stepMs": 4.0,
+            "discovery": "pushed",
+            "rules": rules,
+            "limits": {
+                "maxLaunches": 5,
+                "cancel": EFFECTS[self.effect][1],
+                "connectTimeoutMs": TIMEOUT / 1000,
+            },
+            "familyInfo": {"tellsStart": True},
+            "queueTypes": [kind],
+        }
         if not hasattr(self, "address"):
             free = self.listening()
             self.address = self.at(free)
             free.close()
         with open(self.config, "wb") as file:
-            file.write(orjson.dumps({
-                "listen": self.address, "discovery": self.at(self.agents[agent]), "seed": "8c1f",
-                "settings": settings, "known": self.list_(True), "limits": {"sockets": 128}}))
+            file.write(
+                orjson.dumps(
+                    {
+                        "listen": self.address,
+                        "discovery": self.at(self.agents[agent]),
+                        "seed": "8c1f",
+                        "settings": settings,
+                        "known": self.list_(True),
+                        "limits": {"sockets": 128},
+                    }
+                )
+            )
 
     def list_(self, reset, names=None):
-        return {"generation": self.generation, "reset": reset, "instances": [
-            {"instanceId": name, "hostPort": self.at(sock), "zone": ZONES[name], "cell": 0,
-             "machineType": "k", "lifecycle": self.states[name], "weight": 1.0,
-             "startedAtMs": self.born.get(name, 0)} for name, sock in self.workers.items()
-            if (names is None or name in names) and (not reset or self.states[name] != "gone")]}
+        return {
+            "generation": self.generation,
+            "reset": reset,
+            "instances": [
+                {
+                    "instanceId": name,
+                    "hostPort": self.at(sock),
+                    "zone": ZONES[name],
+                    "cell": 0,
+                    "machineType": "k",
+                    "lifecycle": self.states[name],
+                    "weight": 1.0,
+                    "startedAtMs": self.born.get(name, 0),
+                }
+                for name, sock in self.workers.items()
+                if (names is None or name in names) and (not reset or self.states[name] != "gone")
+            ],
+        }
 
     def note(self, kind, **fields):
         self.events.append({"at": self.clock.at, "kind": kind, **fields})
@@ -270,13 +326,24 @@
 
     def heard(self):
         self.note("told", who="n0", generation=self.generation)
-        self.lives = {name: (life, self.barriers if since is None else since)
-                      for name, (life, since) in self.lives.items()}
+        self.lives = {
+            name: (life, self.barriers if since is None else since)
+            for name, (life, since) in self.lives.items()
+        }
 
     def launched(self, attempt):
-        self.note("launch", job=attempt.job, key="", worker=attempt.worker, first=attempt.first,
-                  attempt=id(attempt), type="render", life=attempt.life, lives=self.lives[attempt.worker],
-                  barrier=attempt.barrier)
+        self.note(
+            "launch",
+            job=attempt.job,
+            key="",
+            worker=attempt.worker,
+            first=attempt.first,
+            attempt=id(attempt),
+            type="render",
+            life=attempt.life,
+            lives=self.lives[attempt.worker],
+            barrier=attempt.barrier,
+        )
 
     def settle(self):
         self.clock.settle(self.peers)
@@ -292,8 +359,16 @@
 
     def attempt(self, *states):
         """The newest connection in one of these states; `again`: one that has carried an answer before."""
-        return next((one for one in reversed(self.attempts) if one.open and one.state in states
-                     and ("again" not in states or one.carried > (one.state == "asked"))), None)
+        return next(
+            (
+                one
+                for one in reversed(self.attempts)
+                if one.open
+                and one.state in states
+                and ("again" not in states or one.carried > (one.state == "asked"))
+            ),
+            None,
+        )
 
     def calls_in(self, job):
         self.callers.append(Caller(self, job, "k" + job))
@@ -441,8 +516,18 @@
 
     def step_older(self):
         """A change of a generation that is behind what was told."""
-        raw = orjson.dumps({**self.list_(False), "generation": 0, "instances": [
-            {**one, "lifecycle": "ready"} for one in self.list_(False, {"s-1"})["instances"]]}) + b"\n"
+        raw = (
+            orjson.dumps(
+                {
+                    **self.list_(False),
+                    "generation": 0,
+                    "instances": [
+                        {**one, "lifecycle": "ready"} for one in self.list_(False, {"s-1"})["instances"]
+                    ],
+                }
+            )
+            + b"\n"
+        )
         for sock, what in self.calls:
             if what == b"watch":
                 sock.send(b"%x\r\n%s\r\n" % (len(raw), raw))
@@ -478,12 +563,18 @@
         if step in (*CLIENT, "request-ends"):
             one = self.callers[-1] if self.callers else None
             return one is not None and one.open and not one.half and (step in CLIENT or bool(one.unsent))
-        needs = {"worker-takes": ("asked",), "worker-turns-away": ("asked",), "worker-returns": ("asked",),
-                 "worker-done": ("asked", "taken"), "worker-last-line": ("asked", "taken"),
-                 "worker-fails": ("asked", "taken"), "worker-last-chunk": ("ending",),
-                 "second-answer": ("idle", "asked", "again"),
-                 "worker-closes": ("idle", "asked", "taken", "ending"),
-                 "worker-resets": ("idle", "asked", "taken", "ending")}.get(step)
+        needs = {
+            "worker-takes": ("asked",),
+            "worker-turns-away": ("asked",),
+            "worker-returns": ("asked",),
+            "worker-done": ("asked", "taken"),
+            "worker-last-line": ("asked", "taken"),
+            "worker-fails": ("asked", "taken"),
+            "worker-last-chunk": ("ending",),
+            "second-answer": ("idle", "asked", "again"),
+            "worker-closes": ("idle", "asked", "taken", "ending"),
+            "worker-resets": ("idle", "asked", "taken", "ending"),
+        }.get(step)
         return needs is None or self.attempt(*needs) is not None
 
     def does(self, *steps):
@@ -535,10 +626,16 @@
         self.goes_on(1_000_000)
 
     def record(self):
-        return {"events": self.events, "spells": [], "grace": GRACE, "goals": {}, "repeats": False,
-                "lag_ms": self.busy / 1000,
-                "run_once": ["render"] if self.effect == "run-once" else [],
-                "cold": {"span": 1_000_000, "multiple": 3.0, "slots": 100, "from": 0.3, "for": 0}}
+        return {
+            "events": self.events,
+            "spells": [],
+            "grace": GRACE,
+            "goals": {},
+            "repeats": False,
+            "lag_ms": self.busy / 1000,
+            "run_once": ["render"] if self.effect == "run-once" else [],
+            "cold": {"span": 1_000_000, "multiple": 3.0, "slots": 100, "from": 0.3, "for": 0},
+        }
 
     def verdict(self):
         """What is broken: by the laboratory's rules, and by those of a single order."""
@@ -563,8 +660,10 @@
             if self.effect == "deduplicated" and (event["attempt"], job) not in self.unseen:
                 at, worker = begun.setdefault(job, (event["at"], event["worker"]))
                 if event["at"] > at + WINDOW + SLACK or ZONES[event["worker"]] != ZONES[worker]:
-                    out.append(f"inside_the_window: {job} was launched on {event['worker']} "
-                               f"{(event['at'] - at) / 1000:.0f} ms after {worker}")
+                    out.append(
+                        f"inside_the_window: {job} was launched on {event['worker']} "
+                        f"{(event['at'] - at) / 1000:.0f} ms after {worker}"
+                    )
             life, since = event["lives"]
             if event["life"] != life and since is not None and event["barrier"] > since:
                 out.append(f"the_worker_of_now: {job} went to a former life of {event['worker']}")
@@ -612,8 +711,14 @@
 CLIENT = ("client-closes", "client-resets", "client-ends")
 LIST = ("drains", "gone", "restarts", "moves")
 WATCH = ("watch-silent", "watch-resets", "older", "hup")
-ANSWER = ("worker-takes", "worker-done", "worker-last-line", "worker-turns-away", "worker-returns",
-          "worker-fails")
+ANSWER = (
+    "worker-takes",
+    "worker-done",
+    "worker-last-line",
+    "worker-turns-away",
+    "worker-returns",
+    "worker-fails",
+)
 BREAK = ("worker-closes", "worker-resets")
 TIME = ("timer", "grace", "connect-time", "window", "walltime")
 TIMES = (*TIME, "nearly-window")
@@ -625,31 +730,52 @@
     "kept": (KEPT, ("request", *BREAK, "second-answer", *LIST, "timer", "term", "hup", "full")),
     "kept-request": ((*KEPT, "request"), ("second-answer", *ANSWER, *BREAK, *CLIENT, *LIST, *TIME, "term")),
     "quiet": (("request",), ("timer", *BREAK, *CLIENT, *LIST, "watch-resets", "hup", "walltime", "term")),
-    "connect": (("connects-held", "request"),
-                ("connects-up", *CLIENT, *LIST, *WATCH, *TIME, "joins", "term", "full")),
-    "asked": (("request",),
-              (*ANSWER, *BREAK, *CLIENT, *LIST, *WATCH, *TIME, "joins", "joins-elsewhere", "term", "full")),
-    "taken": (("request", "worker-takes"),
-              ("worker-done", "worker-last-line", "worker-fails", *BREAK, *CLIENT, *LIST, *TIME, "term",
-               "hup")),
-    "last-line": (("request", "worker-last-line"),
-                  ("worker-last-chunk", *BREAK, *CLIENT, "request", *LIST, "timer", "term")),
-    "retry": (("joins", "request", "connects-held", "worker-resets"),
-              ("connects-up", *CLIENT, *LIST, *TIME, "watch-resets", "term", "full")),
-    "returned": (("joins", "request", "connects-held", "worker-returns"),
-                 ("connects-up", *CLIENT, *LIST, *TIME, "watch-resets", "term", "full")),
-    "watch": (("watch-silent", "drains", "timer"),
-              ("watch-back", "watch-resets", "older", "request", "hup", "timer", "gone", "restarts", "term")),
+    "connect": (
+        ("connects-held", "request"),
+        ("connects-up", *CLIENT, *LIST, *WATCH, *TIME, "joins", "term", "full"),
+    ),
+    "asked": (
+        ("request",),
+        (*ANSWER, *BREAK, *CLIENT, *LIST, *WATCH, *TIME, "joins", "joins-elsewhere", "term", "full"),
+    ),
+    "taken": (
+        ("request", "worker-takes"),
+        ("worker-done", "worker-last-line", "worker-fails", *BREAK, *CLIENT, *LIST, *TIME, "term", "hup"),
+    ),
+    "last-line": (
+        ("request", "worker-last-line"),
+        ("worker-last-chunk", *BREAK, *CLIENT, "request", *LIST, "timer", "term"),
+    ),
+    "retry": (
+        ("joins", "request", "connects-held", "worker-resets"),
+        ("connects-up", *CLIENT, *LIST, *TIME, "watch-resets", "term", "full"),
+    ),
+    "returned": (
+        ("joins", "request", "connects-held", "worker-returns"),
+        ("connects-up", *CLIENT, *LIST, *TIME, "watch-resets", "term", "full"),
+    ),
+    "watch": (
+        ("watch-silent", "drains", "timer"),
+        ("watch-back", "watch-resets", "older", "request", "hup", "timer", "gone", "restarts", "term"),
+    ),
     "no-worker": (("gone", "request"), ("joins", "restarts", *CLIENT, *WATCH, *TIME, "term", "full")),
     "leaving": (("request", "term"), (*ANSWER, *BREAK, *CLIENT, *TIME, "request", "drains", "hup")),
-    "finishing": ((*KEPT, "request", "term", "nearly-finishes", "connects", "finishes"),
-                  ("request-ends", "worker-done", *BREAK, *CLIENT, *TIME)),
-    "kept-quiet": ((*KEPT, "request"),
-                   ("timer", "second-answer", *BREAK, *CLIENT, *LIST, "walltime", "term")),
-    "after-drain": (("drains", "grace"),
-                    ("older", "joins", "request", "watch-resets", "hup", "restarts", "timer")),
-    "window": (("joins", "request", "nearly-window", "connects-held", "worker-resets"),
-               ("connects-up", "joins-elsewhere", *TIME, *CLIENT, "gone")),
+    "finishing": (
+        (*KEPT, "request", "term", "nearly-finishes", "connects", "finishes"),
+        ("request-ends", "worker-done", *BREAK, *CLIENT, *TIME),
+    ),
+    "kept-quiet": (
+        (*KEPT, "request"),
+        ("timer", "second-answer", *BREAK, *CLIENT, *LIST, "walltime", "term"),
+    ),
+    "after-drain": (
+        ("drains", "grace"),
+        ("older", "joins", "request", "watch-resets", "hup", "restarts", "timer"),
+    ),
+    "window": (
+        ("joins", "request", "nearly-window", "connects-held", "worker-resets"),
+        ("connects-up", "joins-elsewhere", *TIME, *CLIENT, "gone"),
+    ),
 }
 
 
@@ -728,9 +854,14 @@
     while smaller:
         smaller = False
         for n, group in enumerate(groups):
-            for tried in ([*groups[:n], *groups[n + 1:]],
-                          *([*groups[:n], tuple(s for s in group if s is not step), *groups[n + 1:]]
-                            for step in group if len(group) > 1)):
+            for tried in (
+                [*groups[:n], *groups[n + 1 :]],
+                *(
+                    [*groups[:n], tuple(s for s in group if s is not step), *groups[n + 1 :]]
+                    for step in group
+                    if len(group) > 1
+                ),
+            ):
                 if still(tried):
                     groups, smaller = tried, True
                     break
--- a/mastledge/lab/emulator.py
+++ b/mastledge/lab/emulator.py
@@ -75,8 +75,7 @@
             return  # nobody reads it, and its walltime ends it
         low, high = self.told.run_ms
         work = int((low + (high - low) * world.random.random()) * 1000)
-        world.note("launch", worker=self.name, job=job.name, key=job.key, type=job.kind.name,
-                   work=work)
+        world.note("launch", worker=self.name, job=job.name, key=job.key, type=job.kind.name, work=work)
         launch.state = trouble = self.troubles.now(world.now, world.chance)
         if trouble in ("error", "malformed"):
             world.at(world.link(), world.tidings, launch, "error")
@@ -196,8 +195,16 @@
                 last = max(launch.job.last for launch in known)
                 out[wkr.id] = b.Out(wkr.born, ["", 0], sum(launch.load for launch in known), last)
         learned = {id: [*told[:3], []] for id, told in self.balancer.learned().items()}
-        return b.Kept(at=now, registry="lab", generation=self.generation or 0, listed_at=now, workers=workers,
-                      out=out, learned_at=now, learned=learned)
+        return b.Kept(
+            at=now,
+            registry="lab",
+            generation=self.generation or 0,
+            listed_at=now,
+            workers=workers,
+            out=out,
+            learned_at=now,
+            learned=learned,
+        )
 
     # Whether it serves
 
@@ -339,8 +346,7 @@
         job.n = self.count
         self.jobs[job.n] = job
         types = [one.name for one in world.scenario.clients.queue_types]
-        self.balancer.arrived(now, job.n, types.index(job.kind.name), 0, 0, 1.0, 0.0, 0,
-                              job.until - now)
+        self.balancer.arrived(now, job.n, types.index(job.kind.name), 0, 0, 1.0, 0.0, 0, job.until - now)
         self.pull()
 
     # Keys
@@ -624,8 +630,10 @@
     def tell(self, second):
         since = self.now - 1_000_000
         recent = [e["status"] for e in self.events if e["kind"] == "answer" and e["at"] > since]
-        self.show(f"{second + 1:6.2f} s  served {recent.count(200):4d}, rejected {recent.count(503):4d}, "
-                  f"killed {recent.count(500):3d} (simulated)")
+        self.show(
+            f"{second + 1:6.2f} s  served {recent.count(200):4d}, rejected {recent.count(503):4d}, "
+            f"killed {recent.count(500):3d} (simulated)"
+        )
 
     def record(self, whole, why):
         told = self.scenario
@@ -670,8 +678,15 @@
             self.again(job, 0.02)
             return
         job.sent = self.now
-        self.note("sent", job=job.name, key=job.key, type=kind.name, who=job.who,
-                  walltime=int(kind.walltime_ms) * 1000, attempt=attempt)
+        self.note(
+            "sent",
+            job=job.name,
+            key=job.key,
+            type=kind.name,
+            who=job.who,
+            walltime=int(kind.walltime_ms) * 1000,
+            attempt=attempt,
+        )
         self.tries[job.name] = job
         self.at(self.link(), dispatcher.arrive, job, dispatcher.life)
         patience = self.clients.told.patience_ms
@@ -703,8 +718,16 @@
     def replied(self, job, status, hold_off, result):
         if self.tries.pop(job.name, None) is None:
             return
-        self.note("answer", job=job.name, status=status, ms=(self.now - job.sent) / 1000, who=job.who,
-                  type=job.kind.name, result=result, retry=f"{hold_off / 1e6:.3f}" if hold_off else "")
+        self.note(
+            "answer",
+            job=job.name,
+            status=status,
+            ms=(self.now - job.sent) / 1000,
+            who=job.who,
+            type=job.kind.name,
+            result=result,
+            retry=f"{hold_off / 1e6:.3f}" if hold_off else "",
+        )
         if status in (429, 503):
             self.again(job, hold_off / 1e6 or 0.05)
         else:
@@ -779,8 +802,11 @@
 
     def ask(self, step):
         id = f"call{len(self.events)}"
-        change = {"kind": "out", "worker": step.worker} if step.call == "exclude" else {
-            "kind": "back", "worker": step.worker, "at": self.now, "cold_for": 1}
+        change = (
+            {"kind": "out", "worker": step.worker}
+            if step.call == "exclude"
+            else {"kind": "back", "worker": step.worker, "at": self.now, "cold_for": 1}
+        )
         if self.agreeing:
             self.propose(step.who, id, {**change, "by": step.who})
 
@@ -899,4 +925,3 @@
 
         for name, at in zip(one["dead"], one["at"], strict=True):
             self.at(int(at * 1e6), die, name)
-
--- a/mastledge/lab/experiment.py
+++ b/mastledge/lab/experiment.py
@@ -168,13 +168,19 @@
             assert variant.policy in BUILDS
         program = None
         if variant.program:
-            code = f"import sys; sys.path.insert(0, {variant.program!r}); import runpy; " \
-                   "sys.argv[0] = 'mastledge'; runpy.run_module('mastledge', run_name='__main__')"
+            code = (
+                f"import sys; sys.path.insert(0, {variant.program!r}); import runpy; "
+                "sys.argv[0] = 'mastledge'; runpy.run_module('mastledge', run_name='__main__')"
+            )
             program = [sys.executable, "-B", "-c", code]
         record = asyncio.run(Rig(scenario, seed, program=program).run())
     broken = {rule: lines[0] for rule, lines in judged(record).items() if lines}
-    whole = {"complete": record["complete"], "why": record["why"], "limited": figures.limited(record),
-             "broken": broken}
+    whole = {
+        "complete": record["complete"],
+        "why": record["why"],
+        "limited": figures.limited(record),
+        "broken": broken,
+    }
     return {**whole, "figures": figures.of_record(record)}
 
 
@@ -202,10 +208,12 @@
                 if show:
                     first = told.figures[0]
                     at = "" if value is None else f" at {value}"
-                    show(f"{done} of {len(runs)}: {variant.name}{at}, seed {seed}: {first} "
-                         f"{shown(row['figures'][first])}"
-                         + (f"; {row['limited']}" if row["limited"] else "")
-                         + ("" if row["complete"] else f"; incomplete: {row['why']}"))
+                    show(
+                        f"{done} of {len(runs)}: {variant.name}{at}, seed {seed}: {first} "
+                        f"{shown(row['figures'][first])}"
+                        + (f"; {row['limited']}" if row["limited"] else "")
+                        + ("" if row["complete"] else f"; incomplete: {row['why']}")
+                    )
         except BaseException:
             pool.shutdown(wait=False, cancel_futures=True)
             raise
@@ -262,14 +270,28 @@
 
 
 def judged_pairs(told, value, base, variant, name, pairs):
-    row = {"figure": name, "value": value, "variant": variant.name, "base": base.name, "pairs": len(pairs),
-           "mean": None, "base_mean": None, "spread": None, "difference": None, "low": None, "high": None,
-           "verdict": "no figures"}
+    row = {
+        "figure": name,
+        "value": value,
+        "variant": variant.name,
+        "base": base.name,
+        "pairs": len(pairs),
+        "mean": None,
+        "base_mean": None,
+        "spread": None,
+        "difference": None,
+        "low": None,
+        "high": None,
+        "verdict": "no figures",
+    }
     if not pairs:
         return row
     some = numpy.array(pairs, float)
-    row |= {"base_mean": float(some[:, 0].mean()), "mean": float(some[:, 1].mean()),
-            "spread": float(some[:, 1].std(ddof=1)) if len(some) > 1 else 0.0}
+    row |= {
+        "base_mean": float(some[:, 0].mean()),
+        "mean": float(some[:, 1].mean()),
+        "spread": float(some[:, 1].std(ddof=1)) if len(some) > 1 else 0.0,
+    }
     if variant.name == base.name:
         return {**row, "verdict": "base"}
     differences = some[:, 1] - some[:, 0]
--- a/mastledge/lab/reports.py
+++ b/mastledge/lab/reports.py
@@ -33,14 +33,18 @@
         "complete": len(rows) == planned and all(row["complete"] for row in rows),
         "runs": len(rows),
         "planned": planned,
-        "incomplete": [f"{row['variant']}, seed {row['seed']}: {row['why']}" for row in rows
-                       if not row["complete"]],
+        "incomplete": [
+            f"{row['variant']}, seed {row['seed']}: {row['why']}" for row in rows if not row["complete"]
+        ],
         "machine_was_the_limit": limits,
-        "broken": [f"{row['variant']}, seed {row['seed']}: {rule}: {line}" for row in rows
-                   for rule, line in row.get("broken", {}).items()],
+        "broken": [
+            f"{row['variant']}, seed {row['seed']}: {rule}: {line}"
+            for row in rows
+            for rule, line in row.get("broken", {}).items()
+        ],
         "breaches": sum(row["figures"]["breaches"] or 0 for row in rows),
         "rule": "a difference is told where 95% of the mean of paired differences lie on one side of 0, over "
-                f"{experiment.LEAST_SEEDS} seeds or more, and it is at least {told.least:g}",
+        f"{experiment.LEAST_SEEDS} seeds or more, and it is at least {told.least:g}",
         "rows": experiment.compared(told, rows),
     }
 
@@ -49,8 +53,10 @@
     """The report as lines."""
     simulated = " (simulated)" if told["how"] == ["emulated"] else ""
     yield f"{told['name']}{simulated}: {told['about']}".rstrip(": ")
-    yield (f"{told['runs']} of {told['planned']} runs, {told['breaches']} broken rules"
-           + ("" if told["complete"] else "; INCOMPLETE"))
+    yield (
+        f"{told['runs']} of {told['planned']} runs, {told['breaches']} broken rules"
+        + ("" if told["complete"] else "; INCOMPLETE")
+    )
     for line in told["incomplete"]:
         yield f"  incomplete: {line}"
     for line in told["broken"]:
@@ -63,8 +69,10 @@
         at = "" if row["value"] is None else f"{row['value']}"
         span = "" if row["low"] is None else f"{row['low']:+.3f} to {row['high']:+.3f}"
         change = "" if row["difference"] is None else f"{row['difference']:+.3f}"
-        yield (f"{row['figure']:15s} {at:>10s} {row['variant']:14s} {shown(row['mean']):>9s} "
-               f"{shown(row['spread']):>8s} {change:>11s}  {span:20s} {row['verdict']}")
+        yield (
+            f"{row['figure']:15s} {at:>10s} {row['variant']:14s} {shown(row['mean']):>9s} "
+            f"{shown(row['spread']):>8s} {change:>11s}  {span:20s} {row['verdict']}"
+        )
 
 
 def canvas():
@@ -83,7 +91,7 @@
     across = min(3, len(names))
     down = (len(names) + across - 1) // across
     figure, axes = pyplot.subplots(down, across, figsize=(4.2 * across, 3.2 * down), squeeze=False)
-    for axis in axes.flat[len(names):]:
+    for axis in axes.flat[len(names) :]:
         axis.axis("off")
     for axis, name in zip(axes.flat, names, strict=False):
         for n, variant in enumerate(told.variants):
@@ -95,8 +103,9 @@
             at = [value for value in told.sweep.values if any(row["value"] == value for row in some)]
             by = [[row["figures"][name] for row in some if row["value"] == value] for value in at]
             line = axis.plot(at, [sum(each) / len(each) for each in by], "o-", label=variant.name)[0]
-            axis.fill_between(at, [min(each) for each in by], [max(each) for each in by],
-                              color=line.get_color(), alpha=0.15)
+            axis.fill_between(
+                at, [min(each) for each in by], [max(each) for each in by], color=line.get_color(), alpha=0.15
+            )
         if told.sweep is None:
             axis.set_xticks(range(len(told.variants)), [one.name for one in told.variants])
             axis.set_xlim(-0.5, len(told.variants) - 0.5)
@@ -127,8 +136,10 @@
     axis.set_xlabel("seconds")
     axis.set_ylabel("a second")
     axis.legend(fontsize=8)
-    axis.set_title(f"{record['scenario']}, seed {record['seed']}"
-                   + (" (simulated)" if record.get("simulated") else ""), fontsize=10)
+    axis.set_title(
+        f"{record['scenario']}, seed {record['seed']}" + (" (simulated)" if record.get("simulated") else ""),
+        fontsize=10,
+    )
     figure.tight_layout()
     figure.savefig(path, dpi=110)
     pyplot.close(figure)
--- a/mastledge/lab/rig.py
+++ b/mastledge/lab/rig.py
@@ -33,7 +33,6 @@
 LOOK = 0.02
 
 
-
 class Failed(Exception):
     """The run could not be carried out to its end."""
 
@@ -85,7 +84,6 @@
     }
 
 
-
 def limits(told):
     """What the judge has to know of a scenario."""
     return {
--- a/mastledge/lab/search.py
+++ b/mastledge/lab/search.py
@@ -33,8 +33,22 @@
     at, seconds = round(CALM + 3 * dice.random(), 2), round(0.3 + (LONGEST - 0.3) * dice.random(), 2)
     worker = f"w{dice.integers(base.workers.count)}"
     who = f"n{dice.integers(base.dispatchers)}"
-    fault = str(dice.choice(["kill", "stop", "all", "worker", "workers", "restart", "drain", "list_down",
-                             "list_late", "restarts"]))
+    fault = str(
+        dice.choice(
+            [
+                "kill",
+                "stop",
+                "all",
+                "worker",
+                "workers",
+                "restart",
+                "drain",
+                "list_down",
+                "list_late",
+                "restarts",
+            ]
+        )
+    )
     step = {"at": at, "fault": fault}
     if fault in ("worker", "workers"):
         step |= {"fault": "worker", "kind": str(dice.choice(sorted(faults.KINDS))), "seconds": seconds}
@@ -47,19 +61,27 @@
     if fault == "restarts":
         several = max(1, round(base.workers.count * float(dice.random()) / 2))
         return [{"at": at, "fault": "restart", "worker": f"w{n}"} for n in range(several)]
-    step |= {"kill": {"who": who, "seconds": min(2.0, seconds)}, "stop": {"who": who, "seconds": seconds},
-             "all": {"seconds": min(2.0, seconds)}, "restart": {"worker": worker},
-             "drain": {"worker": worker},
-             "list_down": {"seconds": seconds},
-             "list_late": {"who": who, "amount": 2.0, "seconds": seconds}}[fault]
+    step |= {
+        "kill": {"who": who, "seconds": min(2.0, seconds)},
+        "stop": {"who": who, "seconds": seconds},
+        "all": {"seconds": min(2.0, seconds)},
+        "restart": {"worker": worker},
+        "drain": {"worker": worker},
+        "list_down": {"seconds": seconds},
+        "list_late": {"who": who, "amount": 2.0, "seconds": seconds},
+    }[fault]
     return [step]
 
 
 def drawn(dice, base):
     """What is played, as genes: groups of faults, load, tries and patience of clients."""
-    return {"steps": [draw_step(dice, base) for _ in range(int(dice.integers(1, MOST_FAULTS)))],
-            "load": round(float(dice.uniform(0.5, 0.9)), 3), "retries": int(dice.integers(0, 15)),
-            "patience": float(dice.choice([0, 0, 600, 800, 1200])), "seed": int(dice.integers(1, 1000))}
+    return {
+        "steps": [draw_step(dice, base) for _ in range(int(dice.integers(1, MOST_FAULTS)))],
+        "load": round(float(dice.uniform(0.5, 0.9)), 3),
+        "retries": int(dice.integers(0, 15)),
+        "patience": float(dice.choice([0, 0, 600, 800, 1200])),
+        "seed": int(dice.integers(1, 1000)),
+    }
 
 
 def changed(dice, base, genes):
@@ -94,8 +116,12 @@
     last = max(step["at"] + step.get("seconds", 0) for step in steps)
     rate = genes["load"] * capacity(base, steps)
     told |= {"name": name, "steps": steps, "seconds": round(last + TAIL, 1)}
-    told["clients"] |= {"per_second": round(rate, 1), "retries": genes["retries"],
-                        "patience_ms": genes["patience"], "again_when_lost": True}
+    told["clients"] |= {
+        "per_second": round(rate, 1),
+        "retries": genes["retries"],
+        "patience_ms": genes["patience"],
+        "again_when_lost": True,
+    }
     scenario = msgspec.convert(told, Scenario)
     check(scenario)
     return scenario
@@ -149,8 +175,9 @@
 def distinct(found):
     seen, out = set(), []
     for one in found:
-        kinds = json.dumps(sorted((step["fault"], step.get("kind", "")) for group in one[2]["steps"]
-                                  for step in group[:1]))
+        kinds = json.dumps(
+            sorted((step["fault"], step.get("kind", "")) for group in one[2]["steps"] for step in group[:1])
+        )
         if kinds not in seen:
             seen.add(kinds)
             out.append(one)
@@ -165,8 +192,10 @@
         told = msgspec.to_builtins(scenario_of(base, genes, f"found {n}"))
         told["about"] = f"Found by a search: {why} (simulated, seed {genes['seed']})."
         told["goals"] |= {"back_s": AFTER}
-        told["steps"] = [{key: value for key, value in step.items() if value not in ("", 0, {}, 0.0)}
-                         for step in told["steps"]]
+        told["steps"] = [
+            {key: value for key, value in step.items() if value not in ("", 0, {}, 0.0)}
+            for step in told["steps"]
+        ]
         for step in told["steps"]:
             step.setdefault("at", 0.0)
         path = os.path.join(folder, f"found-{n}.toml")
--- a/mastledge/program/command.py
+++ b/mastledge/program/command.py
@@ -15,14 +15,15 @@
 def serve(args):
     told = configuration(args.config, os.environ)
     log = Log(sys.stderr.fileno(), told["name"], args.log)
-    return Program(told, log, lambda: configuration(args.config, os.environ),
-                   os.environ.get("TMPDIR")).run()
+    return Program(told, log, lambda: configuration(args.config, os.environ), os.environ.get("TMPDIR")).run()
 
 
 def check(args):
     told = configuration(args.config, os.environ)
-    print(f"{args.config}: good; {len(told['settings']['queue_types'])} queue types, listens on "
-          f"{told['listen'][0]}:{told['listen'][1]}")
+    print(
+        f"{args.config}: good; {len(told['settings']['queue_types'])} queue types, listens on "
+        f"{told['listen'][0]}:{told['listen'][1]}"
+    )
     return 0
 
 
@@ -48,18 +49,28 @@
 def parser(words=()):
     top = Parser(prog="mastledge", description="A dispatcher that pushes jobs to workers.")
     commands = top.add_subparsers(dest="command", required=True, metavar="COMMAND")
-    for call, about in ((serve, "run one dispatcher until SIGTERM"),
-                        (check, "read the configuration and say whether it is good"),
-                        (settings, "show the settings as the decisions are handed them"),
-                        (version, "show the version")):
+    for call, about in (
+        (serve, "run one dispatcher until SIGTERM"),
+        (check, "read the configuration and say whether it is good"),
+        (settings, "show the settings as the decisions are handed them"),
+        (version, "show the version"),
+    ):
         command = commands.add_parser(call.__name__, help=about, description=about)
         command.set_defaults(call=call)
         if call is not version:
-            command.add_argument("--config", default=os.environ.get("GW_CONFIG"), metavar="FILE",
-                                 help="configuration file (default: $GW_CONFIG)")
+            command.add_argument(
+                "--config",
+                default=os.environ.get("GW_CONFIG"),
+                metavar="FILE",
+                help="configuration file (default: $GW_CONFIG)",
+            )
         if call is serve:
-            command.add_argument("--log", choices=("info", "brief"), default="info",
-                                 help="brief leaves out the lines of single jobs and launches")
+            command.add_argument(
+                "--log",
+                choices=("info", "brief"),
+                default="info",
+                help="brief leaves out the lines of single jobs and launches",
+            )
     if words[:1] == ["fleet"] or words[:1] in ([], ["-h"], ["--help"]):
         from mastledge.program import asked
 
--- a/mastledge/program/configuration.py
+++ b/mastledge/program/configuration.py
@@ -41,9 +41,18 @@
     for key in peers:
         if key not in PEERS:
             raise BadConfiguration(f"peers.{key} is unknown")
-    out = {key: part(peers, key, kind, absent) for key, kind, absent in (
-        ("members", dict, None), ("folder", str, None), ("form", bool, False), ("lease_ms", int, 2000),
-        ("without_lease", str, "reject"), ("registry", str, ""), ("fleet", str, ""))}
+    out = {
+        key: part(peers, key, kind, absent)
+        for key, kind, absent in (
+            ("members", dict, None),
+            ("folder", str, None),
+            ("form", bool, False),
+            ("lease_ms", int, 2000),
+            ("without_lease", str, "reject"),
+            ("registry", str, ""),
+            ("fleet", str, ""),
+        )
+    }
     out["listen"] = address_of(part(peers, "listen", str))
     for other, address in taken.items():
         if out["listen"] == address:
@@ -81,8 +90,10 @@
     for key in repeats:
         if key not in REPEATS:
             raise BadConfiguration(f"repeats.{key} is unknown")
-    out = {key: part(repeats, key, int, absent) for key, absent in (
-        ("keep_ms", 60_000), ("copies", 1), ("entries", 100_000), ("bytes", 64 << 20))}
+    out = {
+        key: part(repeats, key, int, absent)
+        for key, absent in (("keep_ms", 60_000), ("copies", 1), ("entries", 100_000), ("bytes", 64 << 20))
+    }
     for key, value in out.items():
         if value < 1:
             raise BadConfiguration(f"repeats.{key} is below 1: {value}")
--- a/mastledge/program/fleet.py
+++ b/mastledge/program/fleet.py
@@ -592,9 +592,7 @@
         if self.copies is not None and self.copies.node is not None:
             holder = self.copies.id
         what = why or f"restored from version {state['version']}"
-        after = snapshots.succeeding(
-            state, self.name, life, holder, what, self.name, time.time_ns() // 1000
-        )
+        after = snapshots.succeeding(state, self.name, life, holder, what, self.name, time.time_ns() // 1000)
         self.log("fleet_restored", version=after["version"], before=member.fleet, what=what)
         self.applied = -1
         self.input("restore", uuid.uuid4().hex[:16], life, after)
--- a/mastledge/program/handover.py
+++ b/mastledge/program/handover.py
@@ -20,16 +20,27 @@
 
 def nothing():
     """Out by hand; when others were called back, in Unix time; the drain; seats that are ready or leaving."""
-    return {"version": VERSION, "serial": 0, "out": [], "back": {}, "draining": False, "ready": [],
-            "leaving": [], "seen": {}}
+    return {
+        "version": VERSION,
+        "serial": 0,
+        "out": [],
+        "back": {},
+        "draining": False,
+        "ready": [],
+        "leaving": [],
+        "seen": {},
+    }
 
 
 def sound(told):
     """Whether a file's content is what this version writes."""
-    return (isinstance(told, dict) and told.get("version") == VERSION
-            and all(isinstance(told.get(name), type(value)) for name, value in nothing().items())
-            and all(isinstance(worker, str) for worker in told["out"])
-            and all(isinstance(at, int) for at in (*told["back"].values(), *told["seen"].values())))
+    return (
+        isinstance(told, dict)
+        and told.get("version") == VERSION
+        and all(isinstance(told.get(name), type(value)) for name, value in nothing().items())
+        and all(isinstance(worker, str) for worker in told["out"])
+        and all(isinstance(at, int) for at in (*told["back"].values(), *told["seen"].values()))
+    )
 
 
 class Handover:
@@ -90,9 +101,11 @@
 
     def says(self, seat, **places):
         """An edit of what is shared: whether a seat stands at each of these places."""
+
         def edit(told):
             for place, there in places.items():
                 told[place] = sorted({*told[place]} - {seat} | ({seat} if there else set()))
+
         return edit
 
     def other_saw(self, serial):
--- a/mastledge/program/logs.py
+++ b/mastledge/program/logs.py
@@ -20,16 +20,22 @@
     def __call__(self, event, **fields):
         if event in self.quiet:
             return
-        line = {"at": time.time_ns() // 1_000_000, "name": self.name, "pid": self.pid, "event": event,
-                **fields}
+        line = {
+            "at": time.time_ns() // 1_000_000,
+            "name": self.name,
+            "pid": self.pid,
+            "event": event,
+            **fields,
+        }
         if self.lost:
             line["lost"] = self.lost
         try:
             raw = orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE)
         except TypeError as error:
             # A line that cannot be written must not cost what it tells of.
-            raw = orjson.dumps({"event": "unwritable", "of": event, "why": ascii(error)},
-                               option=orjson.OPT_APPEND_NEWLINE)
+            raw = orjson.dumps(
+                {"event": "unwritable", "of": event, "why": ascii(error)}, option=orjson.OPT_APPEND_NEWLINE
+            )
         if len(raw) > MOST:
             short = {**{key: line[key] for key in ("at", "name", "pid", "event")}, "cut": len(raw)}
             raw = orjson.dumps(short, option=orjson.OPT_APPEND_NEWLINE)
--- a/mastledge/program/operators.py
+++ b/mastledge/program/operators.py
@@ -22,9 +22,15 @@
                 more["/api/copies"][b"POST"] = repeats.recount
         if self.program.recovering is not None:
             more["/api/recovery"] = {b"GET": self.program.recovering.figures}
-        return {**more, "/api/ready": (b"GET", self.ready), "/api/telemetry": (b"GET", self.telemetry),
-                "/api/exclude/": (b"POST", self.exclude), "/api/include/": (b"POST", self.include),
-                "/api/evacuate": (b"POST", self.evacuate), "/api/rejoin": (b"POST", self.rejoin)}
+        return {
+            **more,
+            "/api/ready": (b"GET", self.ready),
+            "/api/telemetry": (b"GET", self.telemetry),
+            "/api/exclude/": (b"POST", self.exclude),
+            "/api/include/": (b"POST", self.include),
+            "/api/evacuate": (b"POST", self.evacuate),
+            "/api/rejoin": (b"POST", self.rejoin),
+        }
 
     def ready(self):
         if not self.program.door.up():
@@ -38,9 +44,12 @@
         """A line a figure. Counts run from the start of this process."""
         door, router, workers = self.program.door, self.program.router, self.program.workers
         figures = {f"{what}.{kind}": n for what, kinds in door.ended.items() for kind, n in kinds.items()}
-        figures |= {"upstream_tries": workers.tries, "in_progress": door.in_hand,
-                    "known_workers": len(router.peers),
-                    "skipped_workers": router.balancer.skipped(self.program.loop.now())}
+        figures |= {
+            "upstream_tries": workers.tries,
+            "in_progress": door.in_hand,
+            "known_workers": len(router.peers),
+            "skipped_workers": router.balancer.skipped(self.program.loop.now()),
+        }
         return "".join(f"svc.{name}={n}\n" for name, n in figures.items())
 
     def known(self, worker):
@@ -66,6 +75,7 @@
             if worker in told["out"]:
                 told["out"].remove(worker)
                 told["back"] = {id_: at for id_, at in told["back"].items() if at > oldest} | {worker: now}
+
         yield from self.changed(edit)
         if program.fleet is not None:
             return (yield from program.fleet.include(worker))
--- a/mastledge/program/phases.py
+++ b/mastledge/program/phases.py
@@ -21,9 +21,23 @@
 from mastledge.transport.loop import READ, Loop, Queue
 
 STARTING, WAITING, SERVING, DRAINING, LEAVING, FINISHING, ENDED = (
-    "starting", "waiting for workers", "serving", "draining", "leaving", "finishing", "ended")
-NEXT = {STARTING: (WAITING,), WAITING: (SERVING, DRAINING, LEAVING), SERVING: (DRAINING, LEAVING),
-        DRAINING: (WAITING, LEAVING), LEAVING: (FINISHING,), FINISHING: (ENDED,), ENDED: ()}
+    "starting",
+    "waiting for workers",
+    "serving",
+    "draining",
+    "leaving",
+    "finishing",
+    "ended",
+)
+NEXT = {
+    STARTING: (WAITING,),
+    WAITING: (SERVING, DRAINING, LEAVING),
+    SERVING: (DRAINING, LEAVING),
+    DRAINING: (WAITING, LEAVING),
+    LEAVING: (FINISHING,),
+    FINISHING: (ENDED,),
+    ENDED: (),
+}
 ACCEPTING = 500_000  # after the signal: new connections go on coming for 0.4 s
 LONGEST = 3_000_000  # of the walltime that the end waits for
 LAST = 500_000  # and this much more, inside the 0.7 s after which the program is ended from outside
@@ -50,13 +64,17 @@
 
 def words_of(settings):
     """What the edges need of the settings."""
-    return {"queue_types": [dict(qt) for qt in settings["queue_types"]],
-            "tenants": [tenant["name"] for tenant in settings["tenants"]],
-            "zones": settings["zones"], "kinds": settings["kinds"],
-            "most_held": settings["most_held"], "dispatchers": settings["dispatchers"],
-            "asked": settings["follow"] == "asked",
-            "hold_off": settings["most_hold_off"] if settings["may_hold_off"] else 0,
-            "unix_now": time.time_ns() // 1000}
+    return {
+        "queue_types": [dict(qt) for qt in settings["queue_types"]],
+        "tenants": [tenant["name"] for tenant in settings["tenants"]],
+        "zones": settings["zones"],
+        "kinds": settings["kinds"],
+        "most_held": settings["most_held"],
+        "dispatchers": settings["dispatchers"],
+        "asked": settings["follow"] == "asked",
+        "hold_off": settings["most_hold_off"] if settings["may_hold_off"] else 0,
+        "unix_now": time.time_ns() // 1000,
+    }
 
 
 def handed(settings):
@@ -243,12 +261,20 @@
             self.switch(told["settings"])
         if self.fleet is not None and told["document"] != self.told["document"]:
             # All dispatchers go by what they agree on; a file that differs is for the operators to know.
-            differs = sorted(key for key in {*told["document"], *self.told["document"]}
-                             if told["document"].get(key) != self.told["document"].get(key))
+            differs = sorted(
+                key
+                for key in {*told["document"], *self.told["document"]}
+                if told["document"].get(key) != self.told["document"].get(key)
+            )
             self.log("settings_not_taken", differs=differs, why="settings are agreed on: fleet settings FILE")
         restart = [part for part in ("name", "listen", "control") if told[part] != self.told[part]]
-        self.log("configuration", discovery=told["discovery"], sockets=told["sockets"], settings=switched,
-                 needs_restart=restart)
+        self.log(
+            "configuration",
+            discovery=told["discovery"],
+            sockets=told["sockets"],
+            settings=switched,
+            needs_restart=restart,
+        )
 
     def switch(self, settings):
         """Other settings in the running program, and the same step back.
@@ -285,8 +311,9 @@
     def share(self):
         """While another process is beside, each has half of what the dispatcher may use."""
         parts = 1 + self.beside
-        self.budget.resize(descriptors(self.told["sockets"]) // parts - self.reserved,
-                           self.told["memory"] // parts)
+        self.budget.resize(
+            descriptors(self.told["sockets"]) // parts - self.reserved, self.told["memory"] // parts
+        )
         self.budget.shrink()
 
     def watch(self):
@@ -318,8 +345,13 @@
     def divide(self):
         """Which part of the cold budget is this process's; one that hands over needs little more of it."""
         there = 1 - self.handover.seat
-        part = 1.0 if not self.beside else HANDING if self.door.succeeded else (
-            1 - HANDING if there in self.handover.told["leaving"] else 0.5)
+        part = (
+            1.0
+            if not self.beside
+            else HANDING
+            if self.door.succeeded
+            else (1 - HANDING if there in self.handover.told["leaving"] else 0.5)
+        )
         if part != self.part:
             self.part = part
             self.inbox.put("sharing", part)
--- a/mastledge/program/recovering.py
+++ b/mastledge/program/recovering.py
@@ -159,9 +159,14 @@
             # A slow disk: this life has heard newer lists meanwhile.
             self.belief.generation, self.belief.restricted = heard.generation, heard.restricted
         self.writer = Writer(self.journal)
-        self.log("believed", age_ms=self.belief.age // 1000, workers=len(self.belief.workers),
-                 out=len(self.belief.out), learned=len(self.belief.learned),
-                 unbelieved=self.belief.unbelieved)
+        self.log(
+            "believed",
+            age_ms=self.belief.age // 1000,
+            workers=len(self.belief.workers),
+            out=len(self.belief.out),
+            learned=len(self.belief.learned),
+            unbelieved=self.belief.unbelieved,
+        )
 
     def end(self):
         """Gives the folder free."""
@@ -210,8 +215,13 @@
         step = steps.look(now)
         if step != self.logged:
             self.logged = step
-            self.log("recovering", step=step, lesser=list(steps.lesser.values()),
-                     ms=(now - self.began) // 1000, share=round(self.opening.share(), 2))
+            self.log(
+                "recovering",
+                step=step,
+                lesser=list(steps.lesser.values()),
+                ms=(now - self.began) // 1000,
+                share=round(self.opening.share(), 2),
+            )
             if step == s.OPENING:
                 self.opening.begins(now)
             self.loop.wake(program.life)
@@ -286,8 +296,10 @@
         out = {}
         for id, (slots, peak, slow, asides, load) in told.items():
             # When a trial is due was told as a span, as clocks end with the machine.
-            some = [[why if why != "cut_off" else CUT_OFF, {**aside, "back_at": clock + aside["back_at"]}]
-                    for why, aside in asides]
+            some = [
+                [why if why != "cut_off" else CUT_OFF, {**aside, "back_at": clock + aside["back_at"]}]
+                for why, aside in asides
+            ]
             out[id] = [slots, peak, slow, some, load]
         self.log("taken_over", workers=len(out), load=round(sum(one[4] for one in out.values()), 1))
         return out
@@ -406,8 +418,15 @@
             peer = wkr.id
             if peer.address is not None:
                 born = peer.born + discovery.since if peer.born else 0
-                workers[peer.id] = [wkr.state, born, [*peer.address], zones.get(wkr.zone, ""),
-                                    kinds.get(wkr.kind, ""), int(wkr.cell), float(wkr.units)]
+                workers[peer.id] = [
+                    wkr.state,
+                    born,
+                    [*peer.address],
+                    zones.get(wkr.zone, ""),
+                    kinds.get(wkr.kind, ""),
+                    int(wkr.cell),
+                    float(wkr.units),
+                ]
         return [self.registry(), discovery.generation, workers]
 
     def out(self, now):
@@ -427,8 +446,10 @@
     def learned(self):
         clock, told = self.loop.now(), {}
         for id, (slots, peak, slow, asides) in self.program.router.balancer.learned().items():
-            some = [["cut_off" if why == CUT_OFF else why, {**aside, "back_at": aside["back_at"] - clock}]
-                    for why, aside in asides]
+            some = [
+                ["cut_off" if why == CUT_OFF else why, {**aside, "back_at": aside["back_at"] - clock}]
+                for why, aside in asides
+            ]
             told[id] = [slots, peak, slow, some]
         return told
 
@@ -439,9 +460,13 @@
         told = {
             **self.steps.figures(now),
             "door": self.opening.figures(),
-            "believed": {"age_ms": self.belief.age // 1000, "workers": len(self.belief.workers),
-                         "out": len(self.belief.out), "learned": len(self.belief.learned),
-                         "not": self.belief.unbelieved},
+            "believed": {
+                "age_ms": self.belief.age // 1000,
+                "workers": len(self.belief.workers),
+                "out": len(self.belief.out),
+                "learned": len(self.belief.learned),
+                "not": self.belief.unbelieved,
+            },
             "kept_off": sorted(self.program.kept_off),
             "asked": sorted(self.asked),
             "answered": sorted(self.answers),
--- a/mastledge/program/relay.py
+++ b/mastledge/program/relay.py
@@ -52,9 +52,15 @@
             if not job.exchange.open or client is None or len(live) != 1 or not clear(client, live[0]):
                 continue
             exchange, launch = job.exchange, live[0]
-            raw = orjson.dumps({"name": exchange.name, "kind": exchange.kind, "until": exchange.until,
-                                "headed": launch.headed,
-                                "rest": base64.b64encode(launch.conn.buffer.peek()).decode()})
+            raw = orjson.dumps(
+                {
+                    "name": exchange.name,
+                    "kind": exchange.kind,
+                    "until": exchange.until,
+                    "headed": launch.headed,
+                    "rest": base64.b64encode(launch.conn.buffer.peek()).decode(),
+                }
+            )
             try:
                 passing.put(path, raw, (exchange.conn.sock, launch.conn.sock))
             except OSError as error:
@@ -146,5 +152,12 @@
 def clear(client, launch):
     """Whether another process can go on reading here: nothing half read, nothing unread from the client."""
     worker = launch.conn
-    return (launch.sent and worker is not None and worker.fd >= 0 and client.fd >= 0 and worker.whole
-            and worker.http.trailing_data == client.http.trailing_data == (b"", False) and client.quiet())
+    return (
+        launch.sent
+        and worker is not None
+        and worker.fd >= 0
+        and client.fd >= 0
+        and worker.whole
+        and worker.http.trailing_data == client.http.trailing_data == (b"", False)
+        and client.quiet()
+    )
--- a/mastledge/program/settings.py
+++ b/mastledge/program/settings.py
@@ -97,8 +97,13 @@
 }
 TENANT = {"name": ("name", str, ""), "portion": ("portion", figure, 0.0), "quota": ("quotaPerS", figure, 0.0)}
 EFFECT = {"pure": "restartable", "token": "deduplicated", "side_effect": "run-once"}
-REPORT = {"outstanding": "outstanding", "backlog": "backlog", "utilization": "busy", "x0": "free_slots",
-          "x1": "free_memory"}
+REPORT = {
+    "outstanding": "outstanding",
+    "backlog": "backlog",
+    "utilization": "busy",
+    "x0": "free_slots",
+    "x1": "free_memory",
+}
 
 
 def read(pairs, path, kind, absent):
@@ -150,8 +155,10 @@
     settings["queue_types"] = types = listed(pairs, "queueTypes", QUEUE_TYPE)
     if not types:
         raise BadSetting("setting queueTypes.count is missing or 0")
-    a_type = {name: read(pairs, f"familyInfo.{name}", numbers, [])
-              for name in ("classKind", "classPriority", "classStretch")}
+    a_type = {
+        name: read(pairs, f"familyInfo.{name}", numbers, [])
+        for name in ("classKind", "classPriority", "classStretch")
+    }
     for i, qt in enumerate(types):
         # Types are told from those of other settings by their names.
         qt["name"] = qt["name"] or f"{i}"
@@ -162,7 +169,10 @@
         if qt["group"] not in ("all", "zone", "cell"):
             raise BadSetting(f"setting queueTypes.{i}.dedupScope cannot be read: {qt['group']!r}")
         qt["effect"] = EFFECT[qt["effect"]]
-        for ours, name, absent in (("kind", "classKind", -1), ("priority", "classPriority", 0),
-                                   ("stretch", "classStretch", qt.pop("aim_stretch") or 0.0)):
+        for ours, name, absent in (
+            ("kind", "classKind", -1),
+            ("priority", "classPriority", 0),
+            ("stretch", "classStretch", qt.pop("aim_stretch") or 0.0),
+        ):
             qt[ours] = a_type[name][i] if i < len(a_type[name]) else absent
     return settings
--- a/mastledge/protocol/clients.py
+++ b/mastledge/protocol/clients.py
@@ -159,8 +159,14 @@
                 if 400 <= status < 500:
                     self.log("bad_request", status=status, why=content[:200].decode("latin-1"))
                 # Nothing that follows what could not be read, or not be used, can be trusted.
-                last = (beyond or self.closing or self.draining or 400 <= status < 500 or conn.dropped
-                        or conn.http.their_state is not h11.DONE)
+                last = (
+                    beyond
+                    or self.closing
+                    or self.draining
+                    or 400 <= status < 500
+                    or conn.dropped
+                    or conn.http.their_state is not h11.DONE
+                )
                 yield from conn.send(http.answer(conn, status, headers, content, last), loop.now() + SLOW)
                 if last or not http.again(conn.http):
                     self.rests("unused", conn)
--- a/mastledge/protocol/discovery.py
+++ b/mastledge/protocol/discovery.py
@@ -38,8 +38,10 @@
     def configure(self, words):
         """The numbers of the zones and kinds that settings name; those in use stay as they are."""
         self.answer = IN_TURN if words["asked"] else ANSWER
-        return ([self.zones.setdefault(name, len(self.zones)) for name in words["zones"]],
-                [self.kinds.setdefault(name, len(self.kinds)) for name in words["kinds"]])
+        return (
+            [self.zones.setdefault(name, len(self.zones)) for name in words["zones"]],
+            [self.kinds.setdefault(name, len(self.kinds)) for name in words["kinds"]],
+        )
 
     def entry(self, one):
         """A worker of a list as (id, address, zone, state, start, kind, cell, units)."""
@@ -49,9 +51,16 @@
         # The clock of the decisions is monotonic, so a start is moved to it by one fixed difference.
         born = (round(started * 1000) - self.since or 1) if started else 0
         # A zone or kind that the settings do not name is a new one, unlike all others.
-        return (one["instanceId"], address_of(one["hostPort"]), self.zones.setdefault(zone, len(self.zones)),
-                one["lifecycle"], born, self.kinds.setdefault(kind, len(self.kinds)),
-                int(one["cell"]), float(one["weight"]))
+        return (
+            one["instanceId"],
+            address_of(one["hostPort"]),
+            self.zones.setdefault(zone, len(self.zones)),
+            one["lifecycle"],
+            born,
+            self.kinds.setdefault(kind, len(self.kinds)),
+            int(one["cell"]),
+            float(one["weight"]),
+        )
 
     def apply(self, told, whole=None):
         """Takes over a list or a change. One bad entry spoils a change, but not a whole list asked for."""
--- a/mastledge/protocol/http.py
+++ b/mastledge/protocol/http.py
@@ -12,8 +12,18 @@
 READS = 4  # looks of 16 KiB each for the end that stands behind them, in one go
 MOST_LINE = 8 * MOST_BODY  # a result is text inside JSON, where a byte may take six
 # What speaks of one connection only, or is said anew on the next one.
-DROPPED = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
-           b"upgrade", b"content-length", b"host", b"expect"}
+DROPPED = {
+    b"connection",
+    b"keep-alive",
+    b"proxy-connection",
+    b"te",
+    b"trailer",
+    b"transfer-encoding",
+    b"upgrade",
+    b"content-length",
+    b"host",
+    b"expect",
+}
 
 
 # How another request can begin behind a whole one, as far as it has come.
--- a/mastledge/protocol/requests.py
+++ b/mastledge/protocol/requests.py
@@ -22,8 +22,23 @@
 class Exchange:
     """One job's request, to be passed on as it came, and the way back to its client."""
 
-    __slots__ = ("answer", "name", "kind", "method", "target", "headers", "body", "until", "open", "job",
-                 "once", "conn", "key", "tenant", "gone")
+    __slots__ = (
+        "answer",
+        "name",
+        "kind",
+        "method",
+        "target",
+        "headers",
+        "body",
+        "until",
+        "open",
+        "job",
+        "once",
+        "conn",
+        "key",
+        "tenant",
+        "gone",
+    )
 
     def __init__(self):
         self.answer, self.open, self.job, self.once = None, True, None, False
@@ -94,8 +109,11 @@
         if (given := fields.get(b"idempotency-key")) is not None:
             exchange.key, exchange.tenant = given, fields.get(b"x-org", b"").decode("latin-1")
         exchange.method, exchange.target, exchange.body = head.method, head.target, content
-        exchange.headers = [(name, value) for name, value in head.headers
-                            if name not in http.DROPPED and name != b"x-remaining-ms"]
+        exchange.headers = [
+            (name, value)
+            for name, value in head.headers
+            if name not in http.DROPPED and name != b"x-remaining-ms"
+        ]
         extras = pairs(fields.get(b"x-labels", b""), b",")
         width = number(extras.get(b"width", extras.get(b"slots", b"1"))) or 1.0
         memory = number(extras.get(b"ramUnits", extras.get(b"memory", b"0")))
--- a/mastledge/protocol/workers.py
+++ b/mastledge/protocol/workers.py
@@ -11,8 +11,16 @@
 BREAKS = 1 / 64  # of the launches on connections that stood idle; above, run-once jobs get new ones
 GAIN = 1 / 32
 TAIL = 1_000_000  # for the end of an answer whose last line has come
-REPORTED = {"inflight": "outstanding", "queue": "backlog", "util": "busy", "utilization": "busy",
-            "latency_ms": "recent_ms", "eps": "errors_per_s", "x0": "free_slots", "x1": "free_memory"}
+REPORTED = {
+    "inflight": "outstanding",
+    "queue": "backlog",
+    "util": "busy",
+    "utilization": "busy",
+    "latency_ms": "recent_ms",
+    "eps": "errors_per_s",
+    "x0": "free_slots",
+    "x1": "free_memory",
+}
 NOT_TOLD = -1.0  # no figure of a report is below nothing
 
 
@@ -160,8 +168,12 @@
                 conn = yield from connect(loop, self.budget, "workers", peer.address, before)
                 http.attach(conn, h11.CLIENT)
             left = max(1, (until - loop.now()) // 1000)
-            headers = [(b"host", b"%s:%d" % (peer.address[0].encode(), peer.address[1])), *exchange.headers,
-                       (b"x-remaining-ms", b"%d" % left), (b"content-length", b"%d" % len(exchange.body))]
+            headers = [
+                (b"host", b"%s:%d" % (peer.address[0].encode(), peer.address[1])),
+                *exchange.headers,
+                (b"x-remaining-ms", b"%d" % left),
+                (b"content-length", b"%d" % len(exchange.body)),
+            ]
             content = http.request(conn, exchange.method, exchange.target, headers, exchange.body)
             if life != peer.life():
                 # A drain counts from its news, and a new life takes less: both hold for the first byte.
@@ -212,7 +224,7 @@
             if exchange is not None and exchange.left():
                 raise Left
             try:
-                content = content[conn.sock.send(content):]
+                content = content[conn.sock.send(content) :]
             except BlockingIOError:
                 if not (yield (conn.fd, WRITE, until)):
                     raise TimedOut from None
@@ -315,6 +327,9 @@
         return self.ordered(load) if isinstance(load, dict) else report
 
     def ordered(self, load):
-        named = {REPORTED.get(name, name): float(value) for name, value in load.items()
-                 if isinstance(value, int | float)}
+        named = {
+            REPORTED.get(name, name): float(value)
+            for name, value in load.items()
+            if isinstance(value, int | float)
+        }
         return tuple(named.get(name, NOT_TOLD) for name in self.fields) if named else ()
--- a/mastledge/recovery/belief.py
+++ b/mastledge/recovery/belief.py
@@ -181,7 +181,14 @@
         listed = kept.mono - (kept.at - kept.listed_at)
         return [
             ("learned", kept.learned_at, before, kept.boot, kept.learned),
-            ("list", kept.listed_at, listed, kept.boot, kept.registry, kept.generation,
-             builtin(kept.workers)),
+            (
+                "list",
+                kept.listed_at,
+                listed,
+                kept.boot,
+                kept.registry,
+                kept.generation,
+                builtin(kept.workers),
+            ),
             ("out", *when, builtin(kept.out)),
         ]
--- a/mastledge/routing/router.py
+++ b/mastledge/routing/router.py
@@ -17,8 +17,20 @@
 class Launch:
     """What a launch is to the host; the decisions name it by its job and its number among that job's."""
 
-    __slots__ = ("job", "n", "peer", "task", "name", "sent", "at", "began", "ended", "conn",
-                 "headed", "send_by")
+    __slots__ = (
+        "job",
+        "n",
+        "peer",
+        "task",
+        "name",
+        "sent",
+        "at",
+        "began",
+        "ended",
+        "conn",
+        "headed",
+        "send_by",
+    )
 
     def __init__(self, job, peer, name, now):
         self.job, self.n, self.peer, self.name, self.at = job, len(job.launches), peer, name, now
@@ -34,8 +46,7 @@
         self.jobs, self.peers, self.count, self.faults = {}, {}, 0, 0
         self.out = frozenset()
         self.rule, self.listed = None, None  # where dispatchers agree: may it act, and who hears of lists
-        self.totals = {"completed": 0, "rejected": 0, "killed": 0, "abandoned": 0,
-                       "handed_on": 0}
+        self.totals = {"completed": 0, "rejected": 0, "killed": 0, "abandoned": 0, "handed_on": 0}
 
     def run(self):
         inbox = self.inbox
@@ -54,8 +65,12 @@
             call(*fields)
         except Exception as error:
             self.faults += 1
-            self.log("fault", call=call.__name__, why=f"{type(error).__name__}: {error}",
-                     trace=traceback.format_exc(limit=-4))
+            self.log(
+                "fault",
+                call=call.__name__,
+                why=f"{type(error).__name__}: {error}",
+                trace=traceback.format_exc(limit=-4),
+            )
 
     # Inputs
 
@@ -137,8 +152,14 @@
         if first:
             self.closed(now, job, "completed")
         elif how != "completed":
-            self.log("launch_ended", job=launch.name, n=launch.n, worker=launch.peer.id, how=how,
-                     ms=(now - launch.at) / 1000)
+            self.log(
+                "launch_ended",
+                job=launch.name,
+                n=launch.n,
+                worker=launch.peer.id,
+                how=how,
+                ms=(now - launch.at) / 1000,
+            )
             if not job.out:
                 self.on_left(now, job.exchange)
         self.forget(job)
@@ -265,9 +286,16 @@
     def closed(self, now, job, how):
         self.totals[how] += 1
         last = job.launches[-1] if job.launches else None
-        self.log("job", job=job.exchange.name, type=job.exchange.kind, how=how, ms=(now - job.began) / 1000,
-                 launches=len(job.launches), worker=last and last.peer.id,
-                 waited=last and last.began and (last.began - job.began) / 1000)
+        self.log(
+            "job",
+            job=job.exchange.name,
+            type=job.exchange.kind,
+            how=how,
+            ms=(now - job.began) / 1000,
+            launches=len(job.launches),
+            worker=last and last.peer.id,
+            waited=last and last.began and (last.began - job.began) / 1000,
+        )
         self.withdraw(now, job)
         self.forget(job)
 
--- a/mastledge/transport/budget.py
+++ b/mastledge/transport/budget.py
@@ -27,8 +27,12 @@
         total = max(8, sockets - SPARE - (self.operators and self.operators + HELD))
         # A client in hand needs a worker's connection, and some of those are still ending their last answer.
         clients = total * 12 // 25
-        self.most = {"clients": clients, "workers": total - clients, "discovery": 2,
-                     "operators": self.operators}
+        self.most = {
+            "clients": clients,
+            "workers": total - clients,
+            "discovery": 2,
+            "operators": self.operators,
+        }
 
     def shrink(self):
         """Idle connections beyond what may be open now go at once; the others when they end."""
--- a/mastledge/transport/buffer.py
+++ b/mastledge/transport/buffer.py
@@ -16,7 +16,7 @@
         data = self.data
         if len(data) - self.end < least and self.start:
             held = self.end - self.start
-            data[:held] = data[self.start:self.end]
+            data[:held] = data[self.start : self.end]
             self.seen -= self.start
             self.start, self.end = 0, held
         if len(data) - self.end < least:
@@ -25,13 +25,13 @@
     def receive(self, sock):
         """What the socket has now; it passes through behind what is held, and only keep() holds it."""
         self.room(FIRST // 2)
-        with memoryview(self.data) as whole, whole[self.end:self.end + READ] as free:
+        with memoryview(self.data) as whole, whole[self.end : self.end + READ] as free:
             n = sock.recv_into(free)
             return bytes(free[:n])
 
     def keep(self, part):
         self.room(len(part))
-        self.data[self.end:self.end + len(part)] = part
+        self.data[self.end : self.end + len(part)] = part
         self.end += len(part)
 
     def line(self):
@@ -40,15 +40,15 @@
         if at < 0:
             self.seen = self.end
             return None
-        line = bytes(self.data[self.start:at])
+        line = bytes(self.data[self.start : at])
         self.start = self.seen = at + 1
         return line
 
     def peek(self):
-        return bytes(self.data[self.start:self.end])
+        return bytes(self.data[self.start : self.end])
 
     def take(self):
-        whole = bytes(self.data[self.start:self.end])
+        whole = bytes(self.data[self.start : self.end])
         self.clear()
         return whole
 
--- a/mastledge/transport/connection.py
+++ b/mastledge/transport/connection.py
@@ -26,8 +26,22 @@
 
 
 class Connection:
-    __slots__ = ("loop", "sock", "fd", "budget", "kind", "buffer", "left", "http", "owner", "stood", "turn",
-                 "whole", "dropped", "opened")
+    __slots__ = (
+        "loop",
+        "sock",
+        "fd",
+        "budget",
+        "kind",
+        "buffer",
+        "left",
+        "http",
+        "owner",
+        "stood",
+        "turn",
+        "whole",
+        "dropped",
+        "opened",
+    )
 
     def __init__(self, loop, sock, budget, kind):
         """Takes over a socket for which the budget has been asked."""
@@ -60,7 +74,7 @@
         self.left = len(view)
         while self.left:
             try:
-                self.left -= self.sock.send(view[len(view) - self.left:])
+                self.left -= self.sock.send(view[len(view) - self.left :])
             except BlockingIOError:
                 if not (yield (self.fd, WRITE, until)):
                     raise TimedOut from None
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -19,22 +19,62 @@
 
 
 def queue_type(effect="restartable", **other):
-    return {"target": 200_000, "walltime": 5_000_000, "effect": effect, "group": "zone", "window": 7_500_000,
-            "utility": 1.0, "late_utility": 0.2, "kind": -1, "priority": 0, "stretch": 2.0, **other}
+    return {
+        "target": 200_000,
+        "walltime": 5_000_000,
+        "effect": effect,
+        "group": "zone",
+        "window": 7_500_000,
+        "utility": 1.0,
+        "late_utility": 0.2,
+        "kind": -1,
+        "priority": 0,
+        "stretch": 2.0,
+        **other,
+    }
 
 
 def balancer(types=None, workers=4, seed=7, **other):
     settings = {
-        "dispatchers": 2, "me": 0, "zone": 0, "step": STEP, "follow": "pushed", "excess_utility": 0.2,
-        "utility_basis": "work", "tells_start": True, "progress_every": 1_000_000, "queue_order": "fifo",
-        "may_revoke": True, "may_probe": False, "may_hold_off": True, "most_hold_off": 2_000_000,
-        "parallel": False, "launches": 5, "connect_timeout": 250_000, "cpu_a_second": 0, "cpu_a_job": 0,
-        "conn_idle": 5_000_000, "answer_slack": 16_000, "ask_within": 10_000_000,
-        "cold_from": 0.2, "cold_for": 10_000_000, "fall_for": 2_000_000, "fall_multiple": 2.5,
-        "grace": 500_000, "report_how": "silent",
-        "report_fields": [], "price_crossing": 0, "price_probe": 0, "price_waste": 0, "price_peer": 0,
-        "may_message": False, "price_late": 0,
-        "tenants": [], "queue_types": types or [queue_type()], **other}
+        "dispatchers": 2,
+        "me": 0,
+        "zone": 0,
+        "step": STEP,
+        "follow": "pushed",
+        "excess_utility": 0.2,
+        "utility_basis": "work",
+        "tells_start": True,
+        "progress_every": 1_000_000,
+        "queue_order": "fifo",
+        "may_revoke": True,
+        "may_probe": False,
+        "may_hold_off": True,
+        "most_hold_off": 2_000_000,
+        "parallel": False,
+        "launches": 5,
+        "connect_timeout": 250_000,
+        "cpu_a_second": 0,
+        "cpu_a_job": 0,
+        "conn_idle": 5_000_000,
+        "answer_slack": 16_000,
+        "ask_within": 10_000_000,
+        "cold_from": 0.2,
+        "cold_for": 10_000_000,
+        "fall_for": 2_000_000,
+        "fall_multiple": 2.5,
+        "grace": 500_000,
+        "report_how": "silent",
+        "report_fields": [],
+        "price_crossing": 0,
+        "price_probe": 0,
+        "price_waste": 0,
+        "price_peer": 0,
+        "may_message": False,
+        "price_late": 0,
+        "tenants": [],
+        "queue_types": types or [queue_type()],
+        **other,
+    }
     for n, qt in enumerate(settings["queue_types"]):
         qt.setdefault("name", n)
     made = Balancer(settings, seed, 0)
@@ -124,8 +164,13 @@
 
 def door(rig, types=None, most_held=100, dispatchers=3):
     types = types or [queue_type(name="render")]
-    words = {"queue_types": types, "tenants": ["a", "b"], "most_held": most_held, "hold_off": 2_000_000,
-             "dispatchers": dispatchers}
+    words = {
+        "queue_types": types,
+        "tenants": ["a", "b"],
+        "most_held": most_held,
+        "hold_off": 2_000_000,
+        "dispatchers": dispatchers,
+    }
     made = Door(rig.loop, rig.budget, rig.inbox, words, rig.log)
     made.ready = True
     return made
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -22,14 +22,17 @@
     assert Host().turn(*wire.frame_from(io.BytesIO(frame()))) == bytes.fromhex("0000000000000008")
 
 
-@pytest.mark.parametrize(("raw", "says"), [
-    (frame()[:9], "frame header"),
-    (frame(bytes(56))[:-3], "frame body"),
-    (frame(bytes(56), count=2), "too short for 2"),
-    (frame(bytes(56)), "record 0: unknown code 0"),
-    (frame(record(wire.POOL, 0, 0, 1)), "record 0: list entries"),
-    (frame(record(wire.POWER_ON, 1, 1, 4, 9)), "record 0: settings"),
-])
+@pytest.mark.parametrize(
+    ("raw", "says"),
+    [
+        (frame()[:9], "frame header"),
+        (frame(bytes(56))[:-3], "frame body"),
+        (frame(bytes(56), count=2), "too short for 2"),
+        (frame(bytes(56)), "record 0: unknown code 0"),
+        (frame(record(wire.POOL, 0, 0, 1)), "record 0: list entries"),
+        (frame(record(wire.POWER_ON, 1, 1, 4, 9)), "record 0: settings"),
+    ],
+)
 def test_a_bad_frame_is_named(raw, says):
     with pytest.raises(wire.BadFrame, match=says):
         Host().turn(*wire.frame_from(io.BytesIO(raw)))
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -12,44 +12,49 @@
 BIG = b"y" * 70_000
 
 
-@pytest.mark.parametrize(("raw", "status", "left_open"), [
-    (b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n", 200, True),
-    (b"GET /health/live HTTP/1.1\r\nHost: h\r\n\r\n", 200, True),
-    (b"GET /nothing HTTP/1.1\r\nHost: h\r\n\r\n", 404, False),
-    (b"GET /render HTTP/1.1\r\nHost: h\r\n\r\n", 405, False),
-    (b"HEAD /health/live HTTP/1.1\r\nHost: h\r\n\r\n", 405, False),
-    # A second job in the body of a first one, and bodies that end elsewhere than stated.
-    (job(body=b"0\r\n\r\n" + job(), Transfer_Encoding="chunked"), 400, False),
-    (job(Content_Length=b"1, 2"), 400, False),
-    (job(body=b"xyz", Content_Length=1), 400, False),
-    (job(body=b"xyz", Content_Length=-3), 400, False),
-    (job(Content_Length=60_000_000), 413, False),
-    (job(Content_Length=None, Transfer_Encoding="gzip"), 400, False),
-    (job(Content_Length=None, Transfer_Encoding="chunked").replace(b"/1.1", b"/1.0"), 400, False),
-    (b"PRI * HTTP/2.0\r\nHost: h\r\n\r\n", 400, False),
-    # An id, a queue type or a walltime that cannot be used, or that two could read as two.
-    (job(X_Txn=""), 400, False),
-    (job(X_Txn="two words"), 400, False),
-    (job().replace(b"X-Txn: 9b1f", b"X-Txn: 9b1f\r\nX-Txn: 9b20"), 400, False),
-    (job(X_Lane="nothing"), 400, False),
-    (job(X_Remaining_Ms="1e3"), 400, False),
-    (job(X_Remaining_Ms="1_0"), 400, False),
-    (job(X_Remaining_Ms=""), 400, False),
-    (b"no HTTP at all\r\n\r\n", 400, False),
-    (b"GET / HTTP/1.1\r\nHost: h\r\nA: " + BIG, 413, False),
-    (job(body=BIG), 413, False),
-    (job(body=b"4\r\nabcd\r\nzz\r\n", Content_Length=None, Transfer_Encoding="chunked"), 400, False),
-    (job(X_Txn=None), 400, False),
-    (job(X_Lane="other"), 400, False),
-    (job(X_Remaining_Ms="soon"), 400, False),
-    (job(X_Remaining_Ms="-1"), 400, False),
-    (job(X_Estimate="nan"), 400, False),
-    (job("/store"), 400, False),
-], ids=range(30))
+@pytest.mark.parametrize(
+    ("raw", "status", "left_open"),
+    [
+        (b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n", 200, True),
+        (b"GET /health/live HTTP/1.1\r\nHost: h\r\n\r\n", 200, True),
+        (b"GET /nothing HTTP/1.1\r\nHost: h\r\n\r\n", 404, False),
+        (b"GET /render HTTP/1.1\r\nHost: h\r\n\r\n", 405, False),
+        (b"HEAD /health/live HTTP/1.1\r\nHost: h\r\n\r\n", 405, False),
+        # A second job in the body of a first one, and bodies that end elsewhere than stated.
+        (job(body=b"0\r\n\r\n" + job(), Transfer_Encoding="chunked"), 400, False),
+        (job(Content_Length=b"1, 2"), 400, False),
+        (job(body=b"xyz", Content_Length=1), 400, False),
+        (job(body=b"xyz", Content_Length=-3), 400, False),
+        (job(Content_Length=60_000_000), 413, False),
+        (job(Content_Length=None, Transfer_Encoding="gzip"), 400, False),
+        (job(Content_Length=None, Transfer_Encoding="chunked").replace(b"/1.1", b"/1.0"), 400, False),
+        (b"PRI * HTTP/2.0\r\nHost: h\r\n\r\n", 400, False),
+        # An id, a queue type or a walltime that cannot be used, or that two could read as two.
+        (job(X_Txn=""), 400, False),
+        (job(X_Txn="two words"), 400, False),
+        (job().replace(b"X-Txn: 9b1f", b"X-Txn: 9b1f\r\nX-Txn: 9b20"), 400, False),
+        (job(X_Lane="nothing"), 400, False),
+        (job(X_Remaining_Ms="1e3"), 400, False),
+        (job(X_Remaining_Ms="1_0"), 400, False),
+        (job(X_Remaining_Ms=""), 400, False),
+        (b"no HTTP at all\r\n\r\n", 400, False),
+        (b"GET / HTTP/1.1\r\nHost: h\r\nA: " + BIG, 413, False),
+        (job(body=BIG), 413, False),
+        (job(body=b"4\r\nabcd\r\nzz\r\n", Content_Length=None, Transfer_Encoding="chunked"), 400, False),
+        (job(X_Txn=None), 400, False),
+        (job(X_Lane="other"), 400, False),
+        (job(X_Remaining_Ms="soon"), 400, False),
+        (job(X_Remaining_Ms="-1"), 400, False),
+        (job(X_Estimate="nan"), 400, False),
+        (job("/store"), 400, False),
+    ],
+    ids=range(30),
+)
 def test_what_cannot_be_taken_is_answered_at_once(raw, status, left_open):
     rig = Rig()
-    made = door(rig, [queue_type(name="render"), queue_type("deduplicated", name="store"),
-                      queue_type(name="other")])
+    made = door(
+        rig, [queue_type(name="render"), queue_type("deduplicated", name="store"), queue_type(name="other")]
+    )
     theirs = client(rig, made)
     theirs.sendall(raw)
     reply = rig.reply(theirs)
@@ -57,13 +62,23 @@
     assert (b"connection: close" not in reply.lower()) == left_open
 
 
-@pytest.mark.parametrize(("name", "path", "lane"), [
-    ("unit turn", "/unit%20turn", None), ("unit turn", "/unit%20turn/a%2Fb?c=/d", "unit turn"),
-    ("unit turn", "/unit%20turn", "unit%20turn"), ("loyer-août", "/loyer-ao%C3%BBt", None),
-    ("loyer-août", "/loyer-ao%c3%bbt", "loyer-août".encode().decode("latin-1")), ("a/b", "/a%2Fb/c", "a/b"),
-    ("gate:code", "/gate:code", "gate:code"), ("gate:code", "/gate%3Acode", None),
-    ("loyer+50%", "/loyer+50%", "loyer+50%"), ("loyer+50%", "/loyer%2B50%25/x", None),
-    ("a%20b", "/a%20b", "a%20b"), ("a%20b", "/a%2520b", None)])
+@pytest.mark.parametrize(
+    ("name", "path", "lane"),
+    [
+        ("unit turn", "/unit%20turn", None),
+        ("unit turn", "/unit%20turn/a%2Fb?c=/d", "unit turn"),
+        ("unit turn", "/unit%20turn", "unit%20turn"),
+        ("loyer-août", "/loyer-ao%C3%BBt", None),
+        ("loyer-août", "/loyer-ao%c3%bbt", "loyer-août".encode().decode("latin-1")),
+        ("a/b", "/a%2Fb/c", "a/b"),
+        ("gate:code", "/gate:code", "gate:code"),
+        ("gate:code", "/gate%3Acode", None),
+        ("loyer+50%", "/loyer+50%", "loyer+50%"),
+        ("loyer+50%", "/loyer%2B50%25/x", None),
+        ("a%20b", "/a%20b", "a%20b"),
+        ("a%20b", "/a%2520b", None),
+    ],
+)
 def test_a_queue_type_is_known_by_its_name_as_it_stands_or_quoted(name, path, lane):
     # Another customer's names: those that a path can hold only quoted were answered 404.
     rig = Rig()
@@ -74,16 +89,24 @@
     assert (what, exchange.kind, queue, exchange.target) == ("arrived", name, 1, path.encode())
 
 
-@pytest.mark.parametrize(("headers", "says"), [
-    ({}, (0, 0, 0, 1.0, 0.0, 0, 480_000)),
-    ({"X_Estimate": 2500, "Cookie": "a=b; user=k1", "X_Org": "b"}, (0, 2500, b"k1", 1.0, 0.0, 1, 480_000)),
-    ({"X_Labels": "width=2, ramUnits=1.5"}, (0, 0, 0, 2.0, 1.5, 0, 480_000)),
-    ({"X_Labels": "slots=4,memory=0.25,other=x"}, (0, 0, 0, 4.0, 0.25, 0, 480_000)),
-    ({"X_Remaining_Ms": None}, (0, 0, 0, 1.0, 0.0, 0, 5_000_000)),
-    ({"Expect": "100-continue"}, (0, 0, 0, 1.0, 0.0, 0, 480_000)),
-    ({"Content_Length": None, "Transfer_Encoding": "chunked", "body": b"1\r\nx\r\n0\r\n\r\n"},
-     (0, 0, 0, 1.0, 0.0, 0, 480_000)),
-])
+@pytest.mark.parametrize(
+    ("headers", "says"),
+    [
+        ({}, (0, 0, 0, 1.0, 0.0, 0, 480_000)),
+        (
+            {"X_Estimate": 2500, "Cookie": "a=b; user=k1", "X_Org": "b"},
+            (0, 2500, b"k1", 1.0, 0.0, 1, 480_000),
+        ),
+        ({"X_Labels": "width=2, ramUnits=1.5"}, (0, 0, 0, 2.0, 1.5, 0, 480_000)),
+        ({"X_Labels": "slots=4,memory=0.25,other=x"}, (0, 0, 0, 4.0, 0.25, 0, 480_000)),
+        ({"X_Remaining_Ms": None}, (0, 0, 0, 1.0, 0.0, 0, 5_000_000)),
+        ({"Expect": "100-continue"}, (0, 0, 0, 1.0, 0.0, 0, 480_000)),
+        (
+            {"Content_Length": None, "Transfer_Encoding": "chunked", "body": b"1\r\nx\r\n0\r\n\r\n"},
+            (0, 0, 0, 1.0, 0.0, 0, 480_000),
+        ),
+    ],
+)
 def test_a_job_goes_to_the_queue_as_one_call(headers, says):
     rig = Rig()
     theirs = client(rig, door(rig))
@@ -94,9 +117,14 @@
     assert all(name != b"x-remaining-ms" for name, _ in exchange.headers)
 
 
-@pytest.mark.parametrize(("answer", "says"), [
-    (lambda ex: ex.completed(b"result"), b"HTTP/1.1 200 "), (lambda ex: ex.killed(), b"HTTP/1.1 500 "),
-    (lambda ex: ex.rejected(250_000), b"retry-after: 0.250")])
+@pytest.mark.parametrize(
+    ("answer", "says"),
+    [
+        (lambda ex: ex.completed(b"result"), b"HTTP/1.1 200 "),
+        (lambda ex: ex.killed(), b"HTTP/1.1 500 "),
+        (lambda ex: ex.rejected(250_000), b"retry-after: 0.250"),
+    ],
+)
 def test_a_job_gets_one_answer(answer, says):
     rig = Rig()
     theirs = client(rig, door(rig))
@@ -172,9 +200,16 @@
     assert reply.startswith(b"HTTP/1.1 503 ") and b"connection: close" in reply.lower()
 
 
-@pytest.mark.parametrize(("dispatchers", "since", "idle", "taken"), [
-    (2, 300_000, 0, False), (2, 300_000, 2, False), (2, 300_000, 3, True), (2, 0, 0, True),
-    (3, 300_000, 0, True)])
+@pytest.mark.parametrize(
+    ("dispatchers", "since", "idle", "taken"),
+    [
+        (2, 300_000, 0, False),
+        (2, 300_000, 2, False),
+        (2, 300_000, 3, True),
+        (2, 0, 0, True),
+        (3, 300_000, 0, True),
+    ],
+)
 def test_while_leaving_some_client_connections_are_kept_free(dispatchers, since, idle, taken):
     # Once all were busy their clients went to the other dispatcher, which was down as well.
     rig = Rig()
@@ -203,8 +238,9 @@
     assert made.close_idle(conn) == (not unread)
 
 
-@pytest.mark.parametrize(("raw", "goes"), [(b"", True), (job()[:-1], True), (job(), False)],
-                         ids=["idle", "unfinished", "taken"])
+@pytest.mark.parametrize(
+    ("raw", "goes"), [(b"", True), (job()[:-1], True), (job(), False)], ids=["idle", "unfinished", "taken"]
+)
 def test_a_client_gives_way_until_its_job_is_taken(raw, goes, monkeypatch):
     # Requests that never become whole could hold all descriptors otherwise.
     monkeypatch.setattr(clients, "YOUNG", 0)
@@ -247,8 +283,10 @@
     assert exchange.open == (answered is None)
 
 
-@pytest.mark.parametrize(("raw", "answer"), [
-    (b"", b""), (job()[:-1], b"HTTP/1.1 408 "), (b"POST /render HTTP/1.1\r\nA: ", b"HTTP/1.1 408 ")])
+@pytest.mark.parametrize(
+    ("raw", "answer"),
+    [(b"", b""), (job()[:-1], b"HTTP/1.1 408 "), (b"POST /render HTTP/1.1\r\nA: ", b"HTTP/1.1 408 ")],
+)
 def test_who_never_sends_a_whole_request_goes_in_time(raw, answer, monkeypatch):
     # Bytes that come one by one must not prolong it, and who had an answer stays.
     monkeypatch.setattr(clients, "WHOLE", 60_000)
@@ -280,8 +318,9 @@
     assert not made.last_call(sock) and len(made.clients) == len(theirs) == rig.budget.used["clients"]
 
 
-@pytest.mark.parametrize(("gap", "silent", "answer"), [
-    (0.06, 1_000_000, None), (0.3, 100_000, b"HTTP/1.1 408 ")])
+@pytest.mark.parametrize(
+    ("gap", "silent", "answer"), [(0.06, 1_000_000, None), (0.3, 100_000, b"HTTP/1.1 408 ")]
+)
 def test_a_request_in_pieces_is_read_to_its_end_unless_it_falls_silent(gap, silent, answer, monkeypatch):
     # All had 2 s from the connect, which cut off jobs that were written in 2 s, with room or without.
     monkeypatch.setattr(clients, "SILENT", silent)
@@ -291,7 +330,7 @@
     for start in range(0, len(raw), 30):
         if rig.inbox.items or not made.clients:
             break
-        theirs.sendall(raw[start:start + 30])
+        theirs.sendall(raw[start : start + 30])
         rig.turn(lambda: False, int(gap * 1e6))
     if answer is None:
         assert rig.turn(lambda: rig.inbox.items)
@@ -315,8 +354,13 @@
     for _ in range(4):
         assert rig.budget.evict(*CLIENTS)
         rig.turn(lambda: False, 5_000)
-        went.append(next(name for name, one in (("unused", unused), ("half", half), ("usual", usual),
-                                                ("slow", slow)) if name not in went and not waits(one)))
+        went.append(
+            next(
+                name
+                for name, one in (("unused", unused), ("half", half), ("usual", usual), ("slow", slow))
+                if name not in went and not waits(one)
+            )
+        )
     assert went == ["unused", "half", "usual", "slow"] and not made.clients and not rig.errors
 
 
--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -15,8 +15,14 @@
 
 MEAN, SLOTS = 300_000, 4
 SPREAD, ERROR = 1.4, 0.7  # of the work and of the hints, as the logarithm's deviation
-SETTINGS = {"cold_from": 0.3, "cold_for": 6_000_000, "fall_for": 1_000_000, "fall_multiple": 3.0,
-            "cpu_a_second": 8000.0, "cpu_a_job": 10.0}
+SETTINGS = {
+    "cold_from": 0.3,
+    "cold_for": 6_000_000,
+    "fall_for": 1_000_000,
+    "fall_multiple": 3.0,
+    "cpu_a_second": 8000.0,
+    "cpu_a_job": 10.0,
+}
 FALL, END = 5_000_000, 9_000_000
 
 
@@ -75,8 +81,12 @@
         self.born |= self.cold
         self.running |= dict.fromkeys(new, 0)
         for made in self.told:
-            made.members(self.now, "changes", [entry(w, "gone", zone=0) for w in gone if self.joining]
-                         + [entry(w, born=self.now, zone=0) for w in new])
+            made.members(
+                self.now,
+                "changes",
+                [entry(w, "gone", zone=0) for w in gone if self.joining]
+                + [entry(w, born=self.now, zone=0) for w in new],
+            )
 
     def start(self, many, dispatchers):
         for n in self.random.sample(range(dispatchers), many):
@@ -148,7 +158,7 @@
                 work -= sent[first][1]
                 first += 1
             allowed = self.allowed(w, max(self.cold[w], at - span))
-            yield work / MEAN / (allowed + 2 * allowed ** 0.5 + 2)
+            yield work / MEAN / (allowed + 2 * allowed**0.5 + 2)
 
     def used(self):
         """The part of the budgets of all cold workers that they were sent."""
@@ -157,10 +167,20 @@
         return sum(work for w in self.cold for _, work in self.sent[w]) / MEAN / allowed
 
 
-@pytest.mark.parametrize(("dispatchers", "workers", "even", "load", "anew", "joining"), [
-    (20, 14, True, 0.6, 0, False), (20, 14, False, 0.9, 0, False), (20, 14, False, 0.8, 7, True),
-    (30, 40, True, 0.9, 0, True), (30, 40, False, 0.9, 0, False), (30, 40, True, 0.8, 7, False),
-    (230, 40, True, 0.8, 0, True), (230, 40, False, 0.9, 0, False), (230, 40, False, 0.8, 7, False)])
+@pytest.mark.parametrize(
+    ("dispatchers", "workers", "even", "load", "anew", "joining"),
+    [
+        (20, 14, True, 0.6, 0, False),
+        (20, 14, False, 0.9, 0, False),
+        (20, 14, False, 0.8, 7, True),
+        (30, 40, True, 0.9, 0, True),
+        (30, 40, False, 0.9, 0, False),
+        (30, 40, True, 0.8, 7, False),
+        (230, 40, True, 0.8, 0, True),
+        (230, 40, False, 0.9, 0, False),
+        (230, 40, False, 0.8, 7, False),
+    ],
+)
 def test_all_together_keep_cold_workers_under_their_limit(dispatchers, workers, even, load, anew, joining):
     world = World(dispatchers, workers, even, load, anew, joining)
     assert world.worst() <= 1.0
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -35,9 +35,26 @@
 
     def __init__(self, path, ready=True, folder=None, **changed):
         peer, self.sock = peer_at()
-        known = {"generation": 1, "reset": True, "instances": [{
-            "instanceId": "s-1", "hostPort": f"{HERE}:{peer.address[1]}", "zone": "z", "machineType": "k",
-            "cell": 0, "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0}]} if ready else {}
+        known = (
+            {
+                "generation": 1,
+                "reset": True,
+                "instances": [
+                    {
+                        "instanceId": "s-1",
+                        "hostPort": f"{HERE}:{peer.address[1]}",
+                        "zone": "z",
+                        "machineType": "k",
+                        "cell": 0,
+                        "lifecycle": "ready",
+                        "weight": 1.0,
+                        "startedAtMs": 0,
+                    }
+                ],
+            }
+            if ready
+            else {}
+        )
         told = {"listen": free(), "control": free(), "known": known, "limits": {"sockets": 128}, **changed}
         self.path = file(path, **told)
         self.rig = rig = Rig()
@@ -91,10 +108,19 @@
     assert not made.rig.errors and not made.made.router.faults
 
 
-@pytest.mark.parametrize(("method", "path", "status"), [
-    ("GET", "/api/ready", 200), ("POST", "/api/ready", 405), ("GET", "/api/evacuate", 405),
-    ("GET", "/api/nothing", 404), ("GET", "/render", 404), ("POST", "/api/rejoin", 200),
-    ("GET", "/api/telemetry?x=1", 200), ("HEAD", "/api/ready", 405)])
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("GET", "/api/ready", 200),
+        ("POST", "/api/ready", 405),
+        ("GET", "/api/evacuate", 405),
+        ("GET", "/api/nothing", 404),
+        ("GET", "/render", 404),
+        ("POST", "/api/rejoin", 200),
+        ("GET", "/api/telemetry?x=1", 200),
+        ("HEAD", "/api/ready", 405),
+    ],
+)
 def test_each_call_has_its_answer(method, path, status, served):
     assert served.call(path, method)[0] == status
 
@@ -107,11 +133,16 @@
     made.close()
 
 
-@pytest.mark.parametrize(("sent", "status"), [
-    (b"nonsense\r\n\r\n", b"400"), (b"GET /api/ready HTTP/1.1\r\n\r\n", b"400"),
-    (b"GET /api/ready HT", b"408"),
-    (b"POST /api/rejoin HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n", b"413"),
-    (b"GET /" + b"x" * 40_000, b"414")])
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"GET /api/ready HTTP/1.1\r\n\r\n", b"400"),
+        (b"GET /api/ready HT", b"408"),
+        (b"POST /api/rejoin HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n", b"413"),
+        (b"GET /" + b"x" * 40_000, b"414"),
+    ],
+)
 def test_a_bad_call_gets_a_no_and_others_do_not_wait_for_it(sent, status, served, monkeypatch):
     monkeypatch.setattr(control, "WHOLE", 300_000)
     bad = served.connect("control")
@@ -154,9 +185,15 @@
 
 def test_every_end_of_a_job_stands_under_one_count(served):
     before = served.figures()
-    assert before == {"svc.passed.render": 0, "svc.dropped.render": 0, "svc.bad_gateway.render": 0,
-                      "svc.upstream_tries": 0, "svc.in_progress": 0, "svc.known_workers": 1,
-                      "svc.skipped_workers": 0}
+    assert before == {
+        "svc.passed.render": 0,
+        "svc.dropped.render": 0,
+        "svc.bad_gateway.render": 0,
+        "svc.upstream_tries": 0,
+        "svc.in_progress": 0,
+        "svc.known_workers": 1,
+        "svc.skipped_workers": 0,
+    }
     client = served.connect()
     client.sendall(helpers.job(X_Txn="a1", X_Remaining_Ms=4000))
     theirs, _ = served.rig.called(served.sock)
@@ -180,8 +217,10 @@
     assert figures["svc.upstream_tries"] == 1 and figures["svc.in_progress"] == 0
 
 
-@pytest.mark.parametrize(("state", "back_at", "skipped"), [
-    ("ready", None, 0), ("ready", 99, 1), ("ready", -1, 0), ("draining", None, 1), ("gone", None, 0)])
+@pytest.mark.parametrize(
+    ("state", "back_at", "skipped"),
+    [("ready", None, 0), ("ready", 99, 1), ("ready", -1, 0), ("draining", None, 1), ("gone", None, 0)],
+)
 def test_skipped_is_what_is_listed_and_gets_nothing_now(state, back_at, skipped):
     made = balancer(workers=3)
     made.members(0, "changes", [entry(0, state)])
@@ -239,18 +278,29 @@
     assert served.turn(lambda: served.made.phase == "ended", 5_000_000)
 
 
-@pytest.mark.parametrize(("where", "env", "says"), [
-    ("here", {}, "ADDRESS:PORT"), (GOOD_LISTEN := "127.0.0.1:7070", {}, "same address as listen"),
-    (None, {"GW_CONTROL": GOOD_LISTEN}, "same address as listen"), (7, {}, "control cannot be read")])
+@pytest.mark.parametrize(
+    ("where", "env", "says"),
+    [
+        ("here", {}, "ADDRESS:PORT"),
+        (GOOD_LISTEN := "127.0.0.1:7070", {}, "same address as listen"),
+        (None, {"GW_CONTROL": GOOD_LISTEN}, "same address as listen"),
+        (7, {}, "control cannot be read"),
+    ],
+)
 def test_a_bad_second_address_stops_the_start(where, env, says, tmp_path):
     with pytest.raises(BadConfiguration, match=says):
         configuration(file(tmp_path, control=where), env)
 
 
-@pytest.mark.parametrize(("where", "env", "control_"), [
-    (None, {}, None), (None, {"GW_CONTROL": ""}, None),
-    (None, {"GW_CONTROL": "127.0.0.1:9"}, ("127.0.0.1", 9)),
-    ("127.0.0.1:8", {"GW_CONTROL": "127.0.0.1:9"}, ("127.0.0.1", 8))])
+@pytest.mark.parametrize(
+    ("where", "env", "control_"),
+    [
+        (None, {}, None),
+        (None, {"GW_CONTROL": ""}, None),
+        (None, {"GW_CONTROL": "127.0.0.1:9"}, ("127.0.0.1", 9)),
+        ("127.0.0.1:8", {"GW_CONTROL": "127.0.0.1:9"}, ("127.0.0.1", 8)),
+    ],
+)
 def test_the_second_address_is_optional(where, env, control_, tmp_path):
     assert configuration(file(tmp_path, control=where), env)["control"] == control_
 
@@ -290,8 +340,6 @@
     assert 0 < most <= clients.ACCEPTS
 
 
-
-
 def test_a_new_configuration_during_a_drain_leaves_it_a_drain(served):
     served.call("/api/evacuate", "POST")
     served.made.reconfigure()
--- a/tests/test_crossing_search.py
+++ b/tests/test_crossing_search.py
@@ -108,8 +108,13 @@
 
 def what_may_have_run_goes_again(patch):
     ended = Balancer.ended
-    patch(Balancer, "ended", lambda self, now, job, n, how, *more: ended(
-        self, now, job, n, "unsent" if how in ("lost", "dropped", "error") else how, *more))
+    patch(
+        Balancer,
+        "ended",
+        lambda self, now, job, n, how, *more: ended(
+            self, now, job, n, "unsent" if how in ("lost", "dropped", "error") else how, *more
+        ),
+    )
 
 
 def nobody_is_told_that_its_time_is_over(patch):
@@ -148,8 +153,11 @@
 @pytest.mark.parametrize(("build", "place", "effect", "rule"), CAUGHT)
 def test_a_build_that_is_wrong_is_caught_and_the_order_shrunk(build, place, effect, rule, monkeypatch):
     build(lambda where, name, what: monkeypatch.setattr(where, name, what))
-    groups = next(groups for groups in crossing.pairs(place)
-                  if any(line.startswith(rule + ":") for line in crossing.played(effect, place, groups)))
+    groups = next(
+        groups
+        for groups in crossing.pairs(place)
+        if any(line.startswith(rule + ":") for line in crossing.played(effect, place, groups))
+    )
     smaller = crossing.shrunk(effect, place, groups)
     assert sum(map(len, smaller)) <= 2 and crossing.played(effect, place, smaller)
 
@@ -163,12 +171,18 @@
 
 # Each broke a rule before it was mended, or does with the mend taken out.
 SCRIPTS = [
-    "connect/restartable/connects-up+client-closes", "request/restartable/request-ends+client-resets",
-    "connect/restartable/drains,grace", "kept/restartable/moves,request",
+    "connect/restartable/connects-up+client-closes",
+    "request/restartable/request-ends+client-resets",
+    "connect/restartable/drains,grace",
+    "kept/restartable/moves,request",
     "after-drain/restartable/older,request",
-    "kept-request/run-once/second-answer,worker-takes", "window/deduplicated/window,connects-up",
-    "asked/run-once/worker-takes,worker-fails", "asked/deduplicated/worker-resets,joins-elsewhere",
-    "connect/unrevoked/older+drains,timer", "connect/restartable/older+gone,watch-silent+term"]
+    "kept-request/run-once/second-answer,worker-takes",
+    "window/deduplicated/window,connects-up",
+    "asked/run-once/worker-takes,worker-fails",
+    "asked/deduplicated/worker-resets,joins-elsewhere",
+    "connect/unrevoked/older+drains,timer",
+    "connect/restartable/older+gone,watch-silent+term",
+]
 
 
 @pytest.mark.parametrize("script", SCRIPTS)
@@ -176,10 +190,15 @@
     assert crossing.played(*crossing.parsed(script)) == []
 
 
-@pytest.mark.parametrize(("words", "says"), [
-    ({"places": ["nowhere"]}, "unknown place: nowhere"), ({"depth": 1}, "--depth is too small: 1"),
-    ({"places": ["kept/run-once/walks"]}, "unknown step: walks"),
-    ({"places": ["kept/often/request"]}, "unknown effect: often")])
+@pytest.mark.parametrize(
+    ("words", "says"),
+    [
+        ({"places": ["nowhere"]}, "unknown place: nowhere"),
+        ({"depth": 1}, "--depth is too small: 1"),
+        ({"places": ["kept/run-once/walks"]}, "unknown step: walks"),
+        ({"places": ["kept/often/request"]}, "unknown effect: often"),
+    ],
+)
 def test_a_bad_call_is_one_line_before_anything_starts(words, says, capsys):
     assert cross(Asked(**words)) == 2
     assert capsys.readouterr().err == f"mastledge: {says}\n"
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -25,8 +25,13 @@
 
 
 def settings(effect="restartable", window=4000.0, **limits):
-    one = {**GOOD["settings"]["queueTypes"][0], "idempotency": EFFECTS[effect], "windowMs": window,
-           "dedupScope": "zone", "targetTurnaroundMs": 3000.0}  # so long a job waits for a worker
+    one = {
+        **GOOD["settings"]["queueTypes"][0],
+        "idempotency": EFFECTS[effect],
+        "windowMs": window,
+        "dedupScope": "zone",
+        "targetTurnaroundMs": 3000.0,
+    }  # so long a job waits for a worker
     limits = {**GOOD["settings"]["limits"], **limits}
     return {**GOOD["settings"], "balancers": 4, "limits": limits, "queueTypes": [one]}
 
@@ -55,9 +60,24 @@
         """As discovery tells it."""
         self.generation += 1
         at = f"{HERE}:{(sock or self.sock).getsockname()[1]}"
-        self.made.discovery.apply({"generation": self.generation, "reset": reset, "instances": [{
-            "instanceId": name, "hostPort": at, "zone": zone, "machineType": "k", "cell": 0,
-            "lifecycle": state, "weight": 1.0, "startedAtMs": started}]})
+        self.made.discovery.apply(
+            {
+                "generation": self.generation,
+                "reset": reset,
+                "instances": [
+                    {
+                        "instanceId": name,
+                        "hostPort": at,
+                        "zone": zone,
+                        "machineType": "k",
+                        "cell": 0,
+                        "lifecycle": state,
+                        "weight": 1.0,
+                        "startedAtMs": started,
+                    }
+                ],
+            }
+        )
 
     def only(self, txn):
         """The worker is asked for this job, and was asked for nothing before it."""
@@ -332,9 +352,15 @@
     made.only("a3")
 
 
-@pytest.mark.parametrize(("effect", "how", "again"), [
-    ("restartable", "full", b" 200 "), ("run-once", "full", b" 200 "), ("run-once", "lost", b" 409 "),
-    ("deduplicated", "lost", b" 409 ")])
+@pytest.mark.parametrize(
+    ("effect", "how", "again"),
+    [
+        ("restartable", "full", b" 200 "),
+        ("run-once", "full", b" 200 "),
+        ("run-once", "lost", b" 409 "),
+        ("deduplicated", "lost", b" 409 "),
+    ],
+)
 def test_a_kept_job_that_fails_with_nobody_waiting_is_not_tried_again(effect, how, again, serving, tmp_path):
     made = serving(effect, repeats=keeps(tmp_path)).serving()
     client = made.taken("a1", Idempotency_Key="k1")
@@ -483,7 +509,7 @@
     client = made.connect()
     client.sendall(helpers.job(X_Txn="a1", X_Remaining_Ms=4000 if answered else 300))
     theirs, _ = made.rig.called(made.sock)
-    launch, = launches
+    (launch,) = launches
     theirs.sendall(CHUNKED)
     if answered:
         theirs.sendall(chunk(b'{"id":"a1","from":"s-1","state":"done","result":"r"}\n'))
@@ -525,8 +551,16 @@
     made.follow()
     theirs, asked = rig.called(sock)
     assert b"since=43" in asked
-    entry = {"instanceId": "s-1", "hostPort": "127.0.0.1:1", "zone": "z", "machineType": "k", "cell": 0,
-             "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0}
+    entry = {
+        "instanceId": "s-1",
+        "hostPort": "127.0.0.1:1",
+        "zone": "z",
+        "machineType": "k",
+        "cell": 0,
+        "lifecycle": "ready",
+        "weight": 1.0,
+        "startedAtMs": 0,
+    }
     lines = [orjson.dumps({"generation": n, "reset": False, "instances": [entry]}) + b"\n" for n in (43, 42)]
     theirs.sendall(CHUNKED + b"".join(chunk(raw) for raw in lines))
     theirs, asked = rig.called(sock)
@@ -697,7 +731,7 @@
         assert made.turn(lambda: made.made.phase == "leaving")
         made.jumps(40)
         assert made.turn(lambda: made.made.phase == "finishing")
-        client, = clients
+        (client,) = clients
 
     def looks():
         if made.made.budget.idle["unused"]:
@@ -787,8 +821,9 @@
     theirs, _ = made.rig.called(made.sock)
     raw = b'{"id":"a1","state":"done","result":"%s"}\n' % (b"r" * 300_000)
     theirs.settimeout(None)
-    sender = threading.Thread(target=theirs.sendall, args=(
-        b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(raw), raw),))
+    sender = threading.Thread(
+        target=theirs.sendall, args=(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(raw), raw),)
+    )
     sender.start()
     conn = next(iter(made.made.door.clients))
     assert made.turn(lambda: conn.left > 0)
@@ -935,9 +970,16 @@
     assert not select.select([other], [], [], 0)[0]
 
 
-@pytest.mark.parametrize(("effect", "kept", "ends"), [
-    ("run-once", True, goes_nowhere), ("run-once", False, goes_to), ("deduplicated", True, goes_nowhere),
-    ("deduplicated", False, goes_to), ("restartable", True, goes_to)])
+@pytest.mark.parametrize(
+    ("effect", "kept", "ends"),
+    [
+        ("run-once", True, goes_nowhere),
+        ("run-once", False, goes_to),
+        ("deduplicated", True, goes_nowhere),
+        ("deduplicated", False, goes_to),
+        ("restartable", True, goes_to),
+    ],
+)
 def test_a_second_answer_that_turns_away_does_not_prove_that_the_next_never_ran(effect, kept, ends, serving):
     # It was taken for the answer to the next launch on that connection, which ran, and was launched again.
     made = serving(effect).serving()
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -12,14 +12,27 @@
 
 def scenario(*steps, dispatchers=3, load=0.8, seconds=8, **told):
     patience = told.pop("patience_ms", 0.0)
-    types = [QueueType(name="read", share=0.6, target_ms=1000, walltime_ms=3000),
-             QueueType(name="post", effect="side_effect", share=0.4, target_ms=1000, walltime_ms=3000)]
+    types = [
+        QueueType(name="read", share=0.6, target_ms=1000, walltime_ms=3000),
+        QueueType(name="post", effect="side_effect", share=0.4, target_ms=1000, walltime_ms=3000),
+    ]
     return Scenario(
-        name="x", seconds=seconds, dispatchers=dispatchers, steps=[Step(**step) for step in steps],
-        workers=Workers(count=dispatchers, slots=4, run_ms=(100, 400), drops=True,
-                        cold_ms=told.pop("cold_ms", 0)),
-        clients=Clients(per_second=load * dispatchers * 16, retries=10, again_when_lost=True,
-                        patience_ms=patience, queue_types=types), **told)
+        name="x",
+        seconds=seconds,
+        dispatchers=dispatchers,
+        steps=[Step(**step) for step in steps],
+        workers=Workers(
+            count=dispatchers, slots=4, run_ms=(100, 400), drops=True, cold_ms=told.pop("cold_ms", 0)
+        ),
+        clients=Clients(
+            per_second=load * dispatchers * 16,
+            retries=10,
+            again_when_lost=True,
+            patience_ms=patience,
+            queue_types=types,
+        ),
+        **told,
+    )
 
 
 def played(told, seed=1, policy=""):
@@ -33,8 +46,11 @@
 
 
 def test_one_seed_replays_all_of_it_and_another_one_does_not():
-    told = scenario({"at": 2.0, "fault": "kill", "who": "n1", "seconds": 1.0},
-                    {"at": 3.0, "fault": "outages", "amount": 1, "seconds": 0.5}, recovery={"open_ms": 3000})
+    told = scenario(
+        {"at": 2.0, "fault": "kill", "who": "n1", "seconds": 1.0},
+        {"at": 3.0, "fault": "outages", "amount": 1, "seconds": 0.5},
+        recovery={"open_ms": 3000},
+    )
     one, other = (msgspec.json.encode(played(told, seed)) for seed in (1, 2))
     assert one == msgspec.json.encode(played(told, 1)) and one != other
 
@@ -56,7 +72,10 @@
         {"at": 5.5, "fault": "list_down", "seconds": 0.5},
         {"at": 6.0, "fault": "list_late", "who": "n0", "amount": 0.5, "seconds": 1},
         {"at": 6.0, "fault": "cut", "who": "n2", "seconds": 1},
-        load=0.3, cold_ms=2000, recovery=recovery)
+        load=0.3,
+        cold_ms=2000,
+        recovery=recovery,
+    )
     record = played(told)
     assert not {rule: lines for rule, lines in judged(record).items() if lines}
     assert answers(record) > 60
@@ -64,6 +83,7 @@
 
 def test_a_wrong_policy_is_told_from_a_right_one_by_the_judge():
     """The judge reads what the emulation writes down: a run-once job launched again shows."""
+
     class Twice(Emulation):
         def note(self, kind, **fields):
             super().note(kind, **fields)
@@ -88,10 +108,16 @@
         told = scenario(*steps, dispatchers=24, seconds=18, patience_ms=800, agree=False, recovery=recovery)
         record = played(told)
         began = next(event["at"] for event in record["events"] if event["kind"] == "began")
-        first = {event["job"].partition(".")[0]: event["at"] for event in record["events"]
-                 if event["kind"] == "sent" and not event["attempt"]}
-        end = {event["job"].partition(".")[0]: event["at"] for event in record["events"]
-               if event["kind"] == "answer" and event["status"] == 200}
+        first = {
+            event["job"].partition(".")[0]: event["at"]
+            for event in record["events"]
+            if event["kind"] == "sent" and not event["attempt"]
+        }
+        end = {
+            event["job"].partition(".")[0]: event["at"]
+            for event in record["events"]
+            if event["kind"] == "answer" and event["status"] == 200
+        }
         late = [job for job, at in first.items() if at > began + 13_250_000]  # 5 s after its cause is gone
         shares[name] = sum(end.get(job, 1e18) <= first[job] + 2_000_000 for job in late) / len(late)
     assert shares["off"] < 0.5 and shares["on"] > 0.9, shares
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -19,8 +19,14 @@
 
 
 def experiment(**told):
-    whole = {"name": "y", "base": BASE, "seeds": [1, 2, 3, 4], "figures": ["served", "p99_ms", "wasted"],
-             "variants": [{"name": "own"}, {"name": "random", "policy": "random"}], **told}
+    whole = {
+        "name": "y",
+        "base": BASE,
+        "seeds": [1, 2, 3, 4],
+        "figures": ["served", "p99_ms", "wasted"],
+        "variants": [{"name": "own"}, {"name": "random", "policy": "random"}],
+        **told,
+    }
     made = msgspec.convert(whole, e.Experiment)
     e.check(made)
     return made
@@ -30,8 +36,10 @@
     step = {"at": 0.5, "fault": "worker", "kind": "slow", "amount": 4.0, "seconds": 3.5}
     slow = [{**step, "worker": f"w{n}"} for n in range(2)]
     told = experiment(variants=[{"name": "a"}, {"name": "b"}, {"name": "slow", "set": {"steps": slow}}])
-    rows = [{"value": value, "variant": one.name, "seed": seed, **e.one_run(told, value, one, seed)}
-            for value, one, seed in e.plan(told)]
+    rows = [
+        {"value": value, "variant": one.name, "seed": seed, **e.one_run(told, value, one, seed)}
+        for value, one, seed in e.plan(told)
+    ]
     verdicts = {(row["variant"], row["figure"]): row for row in e.compared(told, rows)}
     assert verdicts["a", "p99_ms"]["verdict"] == "base"
     same = verdicts["b", "p99_ms"]
@@ -75,9 +83,11 @@
     whole = reports.report(*reports.load(str(tmp_path)))
     assert whole["complete"] and len(whole["rows"]) == 2 * 2 * 3
     assert [json.loads(line)["figures"] for line in lines[3:]] == [
-        row["figures"] for row in reports.load(str(tmp_path))[1][3:]]
-    other = experiment(sweep={"key": "clients.per_second", "values": [10, 20]}, seeds=[1, 2],
-                       base={**BASE, "seconds": 3})
+        row["figures"] for row in reports.load(str(tmp_path))[1][3:]
+    ]
+    other = experiment(
+        sweep={"key": "clients.per_second", "values": [10, 20]}, seeds=[1, 2], base={**BASE, "seconds": 3}
+    )
     assert not {e.key_of(other, *one) for one in e.plan(other)} & {json.loads(line)["key"] for line in lines}
     reports.draw(told, reports.load(str(tmp_path))[1], str(tmp_path / "x.png"))
     assert (tmp_path / "x.png").read_bytes()[:4] == b"\x89PNG"
@@ -114,9 +124,18 @@
 
 
 def record(**told):
-    base = {"complete": True, "why": "", "scenario": "x", "seed": 1, "spells": [], "lag_ms": 3.0,
-            "late_ms": 0.0, "run_once": [], "grace": 1,
-            "cold": {"slots": 2, "for": 0, "span": 1, "multiple": 1, "from": 1}}
+    base = {
+        "complete": True,
+        "why": "",
+        "scenario": "x",
+        "seed": 1,
+        "spells": [],
+        "lag_ms": 3.0,
+        "late_ms": 0.0,
+        "run_once": [],
+        "grace": 1,
+        "cold": {"slots": 2, "for": 0, "span": 1, "multiple": 1, "from": 1},
+    }
     return {**base, **told}
 
 
@@ -124,15 +143,36 @@
     events = [{"at": 0, "kind": "began"}]
     for n in range(10):
         at = n * 100_000
-        events.append({"at": at, "kind": "sent", "job": f"j{n}.0", "attempt": 0, "who": "n0", "key": "",
-                       "type": "read", "walltime": 3_000_000})
-        events.append({"at": at, "kind": "launch", "job": f"j{n}.0", "worker": "w0", "type": "read",
-                       "work": 1})
-        events.append({"at": at + 50_000, "kind": "effect", "job": f"j{n}.0", "worker": "w0", "type": "read",
-                       "key": ""})
+        events.append(
+            {
+                "at": at,
+                "kind": "sent",
+                "job": f"j{n}.0",
+                "attempt": 0,
+                "who": "n0",
+                "key": "",
+                "type": "read",
+                "walltime": 3_000_000,
+            }
+        )
+        events.append(
+            {"at": at, "kind": "launch", "job": f"j{n}.0", "worker": "w0", "type": "read", "work": 1}
+        )
+        events.append(
+            {"at": at + 50_000, "kind": "effect", "job": f"j{n}.0", "worker": "w0", "type": "read", "key": ""}
+        )
         status = 200 if n < 8 else 503
-        events.append({"at": at + 60_000, "kind": "answer", "job": f"j{n}.0", "status": status, "result": "",
-                       "who": "n0", "type": "read"})
+        events.append(
+            {
+                "at": at + 60_000,
+                "kind": "answer",
+                "job": f"j{n}.0",
+                "status": status,
+                "result": "",
+                "who": "n0",
+                "type": "read",
+            }
+        )
     told = figures.of_record(record(events=events))
     assert told["served"] == 0.8 and told["rejected"] == 0.2 and told["tries"] == 1.0
     assert told["wasted"] == pytest.approx(0.2) and told["most_out"] == 0.5 and told["s_to_95"] is None
@@ -163,8 +203,13 @@
 def test_a_search_finds_what_a_broken_program_does(monkeypatch):
     """One that serves nothing once a worker was restarted."""
     base = Scenario(name="base", dispatchers=2, agree=False, workers=WORKERS)
-    genes = {"steps": [[{"at": 1.0, "fault": "restart", "worker": "w0"}]], "load": 0.5, "retries": 0,
-             "patience": 0.0, "seed": 1}
+    genes = {
+        "steps": [[{"at": 1.0, "fault": "restart", "worker": "w0"}]],
+        "load": 0.5,
+        "retries": 0,
+        "patience": 0.0,
+        "seed": 1,
+    }
     assert search.harm(base, genes)[0] == 0
     # What is drained takes its part of the load with it.
     drained = {**genes, "steps": [[{"at": 1.0, "fault": "drain", "worker": "w0"}]]}
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -54,9 +54,19 @@
     assert one.other_saw(99)
 
 
-@pytest.mark.parametrize("left", [
-    b"", b"{", b"\xff\xfe", orjson.dumps(nothing())[:-9], orjson.dumps({**nothing(), "version": 2}), b"[]",
-    orjson.dumps({**nothing(), "out": [1]}), orjson.dumps({**nothing(), "back": {"s": "soon"}})])
+@pytest.mark.parametrize(
+    "left",
+    [
+        b"",
+        b"{",
+        b"\xff\xfe",
+        orjson.dumps(nothing())[:-9],
+        orjson.dumps({**nothing(), "version": 2}),
+        b"[]",
+        orjson.dumps({**nothing(), "out": [1]}),
+        orjson.dumps({**nothing(), "back": {"s": "soon"}}),
+    ],
+)
 def test_a_state_that_cannot_be_used_is_logged_and_costs_nothing(left, tmp_path):
     logged = []
     one = shares(tmp_path, lambda event, **fields: logged.append(event))
@@ -82,6 +92,7 @@
 
     def full(told):
         raise OSError(errno.ENOSPC, "no space")
+
     monkeypatch.setattr(one, "write", full)
     assert one.change(lambda told: told.update(out=["s-1"])) and one.told["out"] == ["s-1"]
     assert one.told["serial"] == 1
@@ -109,9 +120,18 @@
 
 # The decisions
 
-@pytest.mark.parametrize("news", [
-    None, ("changes", [entry(0, "gone")]), ("changes", [entry(0, born=50)]), ("whole", [entry(0), entry(1)]),
-    ("whole", [entry(1)]), ("changes", [entry(0, "draining")])])
+
+@pytest.mark.parametrize(
+    "news",
+    [
+        None,
+        ("changes", [entry(0, "gone")]),
+        ("changes", [entry(0, born=50)]),
+        ("whole", [entry(0), entry(1)]),
+        ("whole", [entry(1)]),
+        ("changes", [entry(0, "draining")]),
+    ],
+)
 def test_nothing_new_goes_to_who_is_out_whatever_the_list_says(news):
     made = balancer(workers=2)
     made.by_hand(0, {"0"}, {})
@@ -180,6 +200,7 @@
 
 # Calls
 
+
 def calls(served, *steps):
     return [served.call(path, "POST")[0] for path in steps]
 
@@ -195,11 +216,17 @@
     return Served(path, folder=str(folder), **changed)
 
 
-@pytest.mark.parametrize(("steps", "answers", "out"), [
-    (["/api/exclude/s-1"], [200], ["s-1"]), (["/api/exclude/s-1", "/api/exclude/s-1"], [200, 200], ["s-1"]),
-    (["/api/exclude/s-1", "/api/exclude/s-1", "/api/include/s-1"], [200, 200, 200], []),
-    (["/api/exclude/nobody", "/api/include/nobody", "/api/exclude/"], [404, 404, 404], []),
-    (["/api/include/s-1"], [200], []), (["/api/exclude/s%2D1"], [200], ["s-1"])])
+@pytest.mark.parametrize(
+    ("steps", "answers", "out"),
+    [
+        (["/api/exclude/s-1"], [200], ["s-1"]),
+        (["/api/exclude/s-1", "/api/exclude/s-1"], [200, 200], ["s-1"]),
+        (["/api/exclude/s-1", "/api/exclude/s-1", "/api/include/s-1"], [200, 200, 200], []),
+        (["/api/exclude/nobody", "/api/include/nobody", "/api/exclude/"], [404, 404, 404], []),
+        (["/api/include/s-1"], [200], []),
+        (["/api/exclude/s%2D1"], [200], ["s-1"]),
+    ],
+)
 def test_workers_are_left_out_by_calls(steps, answers, out, tmp_path, folder):
     served = begun(tmp_path, folder).serving()
     assert calls(served, *steps) == answers and served.made.handover.told["out"] == out
@@ -332,14 +359,29 @@
 
 # Whole processes
 
+
 def started(tmp_path, folder, listen, peer_port, control):
-    known = {"generation": 1, "reset": True, "instances": [{
-        "instanceId": "s-1", "hostPort": f"{HERE}:{peer_port}", "zone": "z", "machineType": "k", "cell": 0,
-        "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0}]}
+    known = {
+        "generation": 1,
+        "reset": True,
+        "instances": [
+            {
+                "instanceId": "s-1",
+                "hostPort": f"{HERE}:{peer_port}",
+                "zone": "z",
+                "machineType": "k",
+                "cell": 0,
+                "lifecycle": "ready",
+                "weight": 1.0,
+                "startedAtMs": 0,
+            }
+        ],
+    }
     path = file(tmp_path, listen=listen, discovery=free(), known=known)
     env = {**os.environ, "TMPDIR": str(folder), "GW_CONTROL": control}
-    return subprocess.Popen([sys.executable, "-m", "mastledge", "serve", "--config", path], env=env,
-                            stderr=subprocess.DEVNULL)
+    return subprocess.Popen(
+        [sys.executable, "-m", "mastledge", "serve", "--config", path], env=env, stderr=subprocess.DEVNULL
+    )
 
 
 def asked(at, path):
@@ -419,6 +461,7 @@
     def divided():
         most.append(old.router.balancer.share + new.router.balancer.share)
         return new.router.balancer.share > 0.5
+
     assert pair.turn(divided) and max(most) <= 1
     assert (old.router.balancer.share, new.router.balancer.share) == (0.125, 0.875)
     old.handover.leave()
@@ -443,6 +486,7 @@
 
 # What a new version starts from
 
+
 def test_a_new_process_starts_from_what_the_old_one_learned():
     old, new = balancer(workers=3), balancer(workers=3)
     arrive(old, 0)
@@ -459,10 +503,18 @@
     assert new.skipped(2_000) == 1
 
 
-@pytest.mark.parametrize(("left", "logged"), [
-    (None, False), (b"", True), (b"{", True), (b"[]", True), (b'{"version":1}', True),
-    (b'{"version":2,"at":%d,"workers":{"s":[]}}', False),
-    (b'{"version":1,"at":5,"workers":{"s":[]}}', False)])
+@pytest.mark.parametrize(
+    ("left", "logged"),
+    [
+        (None, False),
+        (b"", True),
+        (b"{", True),
+        (b"[]", True),
+        (b'{"version":1}', True),
+        (b'{"version":2,"at":%d,"workers":{"s":[]}}', False),
+        (b'{"version":1,"at":5,"workers":{"s":[]}}', False),
+    ],
+)
 def test_what_was_learned_long_ago_or_cannot_be_used_is_left(left, logged, tmp_path):
     events = []
     one = shares(tmp_path, lambda event, **fields: events.append(event))
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -29,8 +29,9 @@
     return made.workers[wkr_id]
 
 
-@pytest.mark.parametrize(("report", "extra"), [
-    ([0.0, 5.0, 5.0], 0.0), ([0.0, 1.0, 3.0], 2.0), ([2.0, 0.0, 0.0], 5.0)])
+@pytest.mark.parametrize(
+    ("report", "extra"), [([0.0, 5.0, 5.0], 0.0), ([0.0, 1.0, 3.0], 2.0), ([2.0, 0.0, 0.0], 5.0)]
+)
 def test_a_report_tells_what_others_have_there(report, extra):
     made = told_of_load(workers=1)
     made.ready[0].slots = 4.0
@@ -48,9 +49,18 @@
     assert answered(made, [1.0, 0.0, 0.0]).extra == 3.0
 
 
-@pytest.mark.parametrize("report", [
-    [], [math.nan, 2.0, 1.0], [0.0, -1.0, 0.0], [-1.0, 2.0, 0.0], [1e9, 0.0, 0.0], [0.0, math.inf, 0.0],
-    [3.0]])
+@pytest.mark.parametrize(
+    "report",
+    [
+        [],
+        [math.nan, 2.0, 1.0],
+        [0.0, -1.0, 0.0],
+        [-1.0, 2.0, 0.0],
+        [1e9, 0.0, 0.0],
+        [0.0, math.inf, 0.0],
+        [3.0],
+    ],
+)
 def test_a_report_that_lacks_figures_or_is_absurd_is_no_load(report):
     wkr = answered(told_of_load(workers=1), report)
     assert (wkr.extra, wkr.usual, wkr.told) == (0.0, 0.0, None)
@@ -160,8 +170,10 @@
     assert (made.pick(job, 0, None)[0] is kept) is home
 
 
-@pytest.mark.parametrize(("dispatchers", "price", "may", "sends"), [
-    (16, 0.01, True, True), (130, 0.01, True, False), (16, 0.01, False, False), (1, 0.0, True, False)])
+@pytest.mark.parametrize(
+    ("dispatchers", "price", "may", "sends"),
+    [(16, 0.01, True, True), (130, 0.01, True, False), (16, 0.01, False, False), (1, 0.0, True, False)],
+)
 def test_messages_go_where_their_price_and_number_allow_it(dispatchers, price, may, sends):
     made = balancer(dispatchers=dispatchers, price_peer=price, may_message=may)
     made.rates, made.seconds = [40.0], 1.0
@@ -185,11 +197,19 @@
     assert sum(other.extra(w, 0) for w in other.ready) == 1.0
 
 
-@pytest.mark.parametrize(("sender", "told_at", "name", "load"), [
-    (2, 5, "known", 6.0), (2, 4, "known", 3.0), (2, 3, "known", 3.0), (2, 5, "foreign", 0.0),
-    (1, 5, "known", 3.0)])
+@pytest.mark.parametrize(
+    ("sender", "told_at", "name", "load"),
+    [
+        (2, 5, "known", 6.0),
+        (2, 4, "known", 3.0),
+        (2, 3, "known", 3.0),
+        (2, 5, "foreign", 0.0),
+        (1, 5, "known", 3.0),
+    ],
+)
 def test_a_later_message_replaces_the_one_before_and_stale_foreign_or_own_ones_add_nothing(
-        sender, told_at, name, load):
+    sender, told_at, name, load
+):
     made = balancer(dispatchers=3, me=1, may_message=True)
     wkr = made.ready[0]
     made.message(0, 2, 4, [(wkr.name, 3.0)], [])
@@ -207,8 +227,17 @@
 WHOLE = messages.encoded(7, [(1, 2.0)], [(9, 5_000)])
 
 
-@pytest.mark.parametrize("content", [
-    b"", WHOLE[:9], WHOLE[:-1], b"xxxx" + WHOLE[4:], WHOLE + bytes(256), WHOLE[:4] + b"\xff\xff" + WHOLE[6:]])
+@pytest.mark.parametrize(
+    "content",
+    [
+        b"",
+        WHOLE[:9],
+        WHOLE[:-1],
+        b"xxxx" + WHOLE[4:],
+        WHOLE + bytes(256),
+        WHOLE[:4] + b"\xff\xff" + WHOLE[6:],
+    ],
+)
 def test_what_is_no_message_is_told_as_none(content):
     assert messages.decoded(WHOLE) == (7, [(1, 2.0)], [(9, 5_000)]) and messages.decoded(content) is None
 
@@ -232,8 +261,9 @@
     assert made.ready[0].slow == 1.5 and made.queue_types[1]["target"] == 9
 
 
-@pytest.mark.parametrize("types", [
-    [queue_type("restartable", group="all", name="a")], [queue_type("restartable", name="other")]])
+@pytest.mark.parametrize(
+    "types", [[queue_type("restartable", group="all", name="a")], [queue_type("restartable", name="other")]]
+)
 def test_an_open_job_keeps_its_terms_though_its_type_changes_or_goes(types):
     made = balancer([queue_type("run-once", name="a")])
     arrive(made)
@@ -243,8 +273,10 @@
     assert [d[0] for d in pull(made, 50_000)] == ["kill"]
 
 
-@pytest.mark.parametrize(("before", "after", "asked"), [
-    ("pushed", "asked", True), ("asked", "pushed", False), ("pushed", "pushed", False)])
+@pytest.mark.parametrize(
+    ("before", "after", "asked"),
+    [("pushed", "asked", True), ("asked", "pushed", False), ("pushed", "pushed", False)],
+)
 def test_the_list_is_asked_for_once_the_settings_say_so(before, after, asked):
     made = balancer(follow=before)
     made.configured(10_000, settings_of(made, [queue_type()], follow=after))
--- a/tests/test_picks.py
+++ b/tests/test_picks.py
@@ -47,9 +47,16 @@
     assert kinds == [False, True]
 
 
-@pytest.mark.parametrize(("effect", "why", "back"), [
-    ("restartable", 0, 250_000), ("run-once", 0, 1_000_000), ("restartable", None, 250_000),
-    ("run-once", None, 9_000_000), ("run-once", 7, 2_000_000)])
+@pytest.mark.parametrize(
+    ("effect", "why", "back"),
+    [
+        ("restartable", 0, 250_000),
+        ("run-once", 0, 1_000_000),
+        ("restartable", None, 250_000),
+        ("run-once", None, 9_000_000),
+        ("run-once", 7, 2_000_000),
+    ],
+)
 def test_a_run_once_job_is_the_trial_late_but_not_never(effect, why, back):
     # Each trial of a worker that fails a queue type cost such a job; and where only such jobs come, a
     # worker that was silent once would have stayed out for good. Of another type somebody else is the trial.
@@ -109,9 +116,15 @@
     assert [d[0] for d in pull(made, 200_000 + STEP)] == [what]
 
 
-@pytest.mark.parametrize(("effect", "noted", "again"), [
-    ("restartable", 1_000_000, True), ("restartable", 1_900_000, False), ("deduplicated", 0, True),
-    ("run-once", 0, False)])
+@pytest.mark.parametrize(
+    ("effect", "noted", "again"),
+    [
+        ("restartable", 1_000_000, True),
+        ("restartable", 1_900_000, False),
+        ("deduplicated", 0, True),
+        ("run-once", 0, False),
+    ],
+)
 def test_a_running_launch_whose_notes_stop_is_moved(effect, noted, again):
     # Its connection may be dead while its worker goes on: it was waited for until the walltime was over.
     made = balancer([queue_type(effect)])
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -44,9 +44,15 @@
     return made.jobs[made.count], given
 
 
-@pytest.mark.parametrize(("hows", "answers"), [
-    (["completed"], [200]), (["completed", "completed"], [200]), (["error", "completed"], [200]),
-    (["full", "unreachable"], [])])
+@pytest.mark.parametrize(
+    ("hows", "answers"),
+    [
+        (["completed"], [200]),
+        (["completed", "completed"], [200]),
+        (["error", "completed"], [200]),
+        (["full", "unreachable"], []),
+    ],
+)
 def test_the_first_result_is_the_only_answer(hows, answers):
     rig = Rig()
     made, _ = router(rig, listed=3)
@@ -134,13 +140,28 @@
     assert made.faults == 1 and rig.logged[-1][0] == "fault"
 
 
-GOOD = {"listen": "127.0.0.1:7070", "discovery": "127.0.0.1:8500", "seed": "8c1f", "settings": {
-    "balancers": 2, "me": 0, "stepMs": 4.0, "discovery": "pushed",
-    "limits": {"maxLaunches": 5, "cancel": True},
-    "rules": {"coldFrom": 0.3, "coldMs": 8700.0, "fallMs": 1000.0, "fallMultiple": 3.0,
-              "stopSendingWithinMs": 1000.0},
-    "queueTypes": [{"name": "render", "targetTurnaroundMs": 150.0, "walltimeMs": 5000.0,
-                    "idempotency": "pure"}]}}
+GOOD = {
+    "listen": "127.0.0.1:7070",
+    "discovery": "127.0.0.1:8500",
+    "seed": "8c1f",
+    "settings": {
+        "balancers": 2,
+        "me": 0,
+        "stepMs": 4.0,
+        "discovery": "pushed",
+        "limits": {"maxLaunches": 5, "cancel": True},
+        "rules": {
+            "coldFrom": 0.3,
+            "coldMs": 8700.0,
+            "fallMs": 1000.0,
+            "fallMultiple": 3.0,
+            "stopSendingWithinMs": 1000.0,
+        },
+        "queueTypes": [
+            {"name": "render", "targetTurnaroundMs": 150.0, "walltimeMs": 5000.0, "idempotency": "pure"}
+        ],
+    },
+}
 
 
 def file(path, **changed):
@@ -152,24 +173,37 @@
 def test_a_configuration_becomes_a_plain_map(tmp_path):
     told = configuration(file(tmp_path, limits={"sockets": 512}), {})
     settings = told["settings"]
-    assert (told["listen"], told["seed"], told["sockets"]) == (("127.0.0.1", 7070), 0x8c1f, 512)
+    assert (told["listen"], told["seed"], told["sockets"]) == (("127.0.0.1", 7070), 0x8C1F, 512)
     assert settings["queue_types"][0]["effect"] == "restartable" and settings["may_revoke"] is True
     assert settings["cold_for"] == 8_700_000
 
 
-@pytest.mark.parametrize(("changed", "says"), [
-    ({"listen": None}, "listen is missing"), ({"listen": "7070"}, "ADDRESS:PORT"),
-    ({"listen": "here:7070"}, "ADDRESS:PORT"), ({"seed": "xyz"}, "seed cannot be read: 'xyz'"),
-    ({"settings": {}}, "balancers is missing"), ({"settings": {**GOOD["settings"], "stepMs": []}}, "stepMs"),
-    ({"settings": {**GOOD["settings"], "queueTypes": []}}, "queueTypes"), ({"limits": 4}, "limits")])
+@pytest.mark.parametrize(
+    ("changed", "says"),
+    [
+        ({"listen": None}, "listen is missing"),
+        ({"listen": "7070"}, "ADDRESS:PORT"),
+        ({"listen": "here:7070"}, "ADDRESS:PORT"),
+        ({"seed": "xyz"}, "seed cannot be read: 'xyz'"),
+        ({"settings": {}}, "balancers is missing"),
+        ({"settings": {**GOOD["settings"], "stepMs": []}}, "stepMs"),
+        ({"settings": {**GOOD["settings"], "queueTypes": []}}, "queueTypes"),
+        ({"limits": 4}, "limits"),
+    ],
+)
 def test_a_bad_configuration_is_one_plain_message(changed, says, tmp_path):
     with pytest.raises(BadConfiguration, match=says):
         configuration(file(tmp_path, **changed), {})
 
 
-@pytest.mark.parametrize(("nested", "pairs"), [
-    ({"a": {"b": 1}}, {"a.b": 1}), ({"a": ["x", "y"]}, {"a": ["x", "y"]}),
-    ({"a": [{"b": 1}, {"b": 2}]}, {"a": [], "a.count": 2, "a.0.b": 1, "a.1.b": 2})])
+@pytest.mark.parametrize(
+    ("nested", "pairs"),
+    [
+        ({"a": {"b": 1}}, {"a.b": 1}),
+        ({"a": ["x", "y"]}, {"a": ["x", "y"]}),
+        ({"a": [{"b": 1}, {"b": 2}]}, {"a": [], "a.count": 2, "a.0.b": 1, "a.1.b": 2}),
+    ],
+)
 def test_nested_settings_are_found_by_their_paths(nested, pairs):
     assert flat(nested) == pairs
 
@@ -201,9 +235,15 @@
     assert to not in NEXT[phase] and program.phase == phase
 
 
-@pytest.mark.parametrize(("answered", "impatient", "state", "can"), [
-    (True, False, "ready", True), (False, False, "ready", False), (False, True, "ready", True),
-    (True, True, "draining", False)])
+@pytest.mark.parametrize(
+    ("answered", "impatient", "state", "can"),
+    [
+        (True, False, "ready", True),
+        (False, False, "ready", False),
+        (False, True, "ready", True),
+        (True, True, "draining", False),
+    ],
+)
 def test_ready_is_who_knows_a_worker_and_asked_for_news(answered, impatient, state, can):
     rig = Rig()
     program = object.__new__(Program)
@@ -213,11 +253,18 @@
     assert program.can_serve(impatient) == can
 
 
-@pytest.mark.parametrize(("changed", "moves", "event"), [
-    ({"discovery": "127.0.0.1:8501"}, 1, "configuration"), ({}, 0, "configuration"),
-    ({"listen": "127.0.0.1:7071"}, 0, "configuration"), ({"seed": None}, 0, "configuration_kept"),
-    ({"settings": {}}, 0, "configuration_kept"), ({"limits": {"sockets": "x"}}, 0, "configuration_kept"),
-    (None, 0, "configuration_kept")])
+@pytest.mark.parametrize(
+    ("changed", "moves", "event"),
+    [
+        ({"discovery": "127.0.0.1:8501"}, 1, "configuration"),
+        ({}, 0, "configuration"),
+        ({"listen": "127.0.0.1:7071"}, 0, "configuration"),
+        ({"seed": None}, 0, "configuration_kept"),
+        ({"settings": {}}, 0, "configuration_kept"),
+        ({"limits": {"sockets": "x"}}, 0, "configuration_kept"),
+        (None, 0, "configuration_kept"),
+    ],
+)
 def test_a_new_configuration_moves_discovery_and_a_bad_one_changes_nothing(changed, moves, event, tmp_path):
     # SIGHUP came under load and ended the program, with all that it had taken.
     rig = Rig()
@@ -256,10 +303,15 @@
     assert rig.inbox.items[-1][:3] == ("ended", launch, "error" if sent else "unsent")
 
 
-@pytest.mark.parametrize(("words", "code", "says"), [
-    (["check", "--config", "nowhere.json"], 2, "nowhere.json: No such file"),
-    (["serve", "--config", "nowhere.json"], 2, "nowhere.json: No such file"),
-    (["check"], 2, "no configuration"), (["version"], 0, "mastledge ")])
+@pytest.mark.parametrize(
+    ("words", "code", "says"),
+    [
+        (["check", "--config", "nowhere.json"], 2, "nowhere.json: No such file"),
+        (["serve", "--config", "nowhere.json"], 2, "nowhere.json: No such file"),
+        (["check"], 2, "no configuration"),
+        (["version"], 0, "mastledge "),
+    ],
+)
 def test_the_command_line_says_what_is_wrong_in_one_line(words, code, says, monkeypatch, capsys):
     monkeypatch.delenv("GW_CONFIG", raising=False)
     monkeypatch.setattr("sys.argv", ["mastledge", *words])
@@ -268,8 +320,9 @@
     assert says in told and told.count("\n") == 1
 
 
-@pytest.mark.parametrize(("answered", "longest", "status"), [
-    (True, 900_000, b"200"), (False, 300_000, b"503")])
+@pytest.mark.parametrize(
+    ("answered", "longest", "status"), [(True, 900_000, b"200"), (False, 300_000, b"503")]
+)
 def test_the_end_finishes_what_was_taken_and_not_the_rest(answered, longest, status, tmp_path, monkeypatch):
     for name, time in (("ACCEPTING", 20_000), ("LONGEST", longest), ("LAST", 50_000), ("FIRST_NEWS", 0)):
         monkeypatch.setattr(phases, name, time)
@@ -277,9 +330,22 @@
     door = listen((HERE, 0))
     at = f"{HERE}:{door.getsockname()[1]}"
     door.close()
-    known = {"generation": 1, "reset": True, "instances": [{
-        "instanceId": "s-1", "hostPort": f"{HERE}:{peer.address[1]}", "zone": "z", "machineType": "k",
-        "cell": 0, "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0}]}
+    known = {
+        "generation": 1,
+        "reset": True,
+        "instances": [
+            {
+                "instanceId": "s-1",
+                "hostPort": f"{HERE}:{peer.address[1]}",
+                "zone": "z",
+                "machineType": "k",
+                "cell": 0,
+                "lifecycle": "ready",
+                "weight": 1.0,
+                "startedAtMs": 0,
+            }
+        ],
+    }
     rig = Rig()
     made = Program(configuration(file(tmp_path, listen=at, known=known), {}), rig.log)
     rig.loop = made.loop
@@ -305,12 +371,19 @@
     assert idle.recv(1) == b"" and not made.router.faults
 
 
-OTHER = {**GOOD["settings"], "balancers": 16, "discovery": "on_request", "zones": ["far", "z"], "locality": 1,
-         "familyInfo": {"tellsStart": False}, "loadInfo": {"how": "piggyback", "fields": ["backlog", "x0"]},
-         "limits": {**GOOD["settings"]["limits"], "peerMessages": True}, "prices": {"peer": 0.01},
-         "scoreParts": {"tailPart": 0.3, "borneMisses": 0.02},
-         "queueTypes": [{**GOOD["settings"]["queueTypes"][0], "name": "file-final",
-                         "idempotency": "side_effect"}]}
+OTHER = {
+    **GOOD["settings"],
+    "balancers": 16,
+    "discovery": "on_request",
+    "zones": ["far", "z"],
+    "locality": 1,
+    "familyInfo": {"tellsStart": False},
+    "loadInfo": {"how": "piggyback", "fields": ["backlog", "x0"]},
+    "limits": {**GOOD["settings"]["limits"], "peerMessages": True},
+    "prices": {"peer": 0.01},
+    "scoreParts": {"tailPart": 0.3, "borneMisses": 0.02},
+    "queueTypes": [{**GOOD["settings"]["queueTypes"][0], "name": "file-final", "idempotency": "side_effect"}],
+}
 
 
 def answers(sock, body):
@@ -325,9 +398,22 @@
     door = listen((HERE, 0))
     at = f"{HERE}:{door.getsockname()[1]}"
     door.close()
-    known = {"generation": 1, "reset": True, "instances": [{
-        "instanceId": "s-1", "hostPort": f"{HERE}:{peer.address[1]}", "zone": "z", "machineType": "k",
-        "cell": 0, "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0}]}
+    known = {
+        "generation": 1,
+        "reset": True,
+        "instances": [
+            {
+                "instanceId": "s-1",
+                "hostPort": f"{HERE}:{peer.address[1]}",
+                "zone": "z",
+                "machineType": "k",
+                "cell": 0,
+                "lifecycle": "ready",
+                "weight": 1.0,
+                "startedAtMs": 0,
+            }
+        ],
+    }
     rig = Rig()
     path = file(tmp_path, listen=at, known=known)
     made = Program(configuration(path, {}), rig.log, lambda: configuration(path, {}))
@@ -365,11 +451,16 @@
         one.close()
 
 
-@pytest.mark.parametrize(("changed", "says"), [
-    ({"queueTypes": [{**GOOD["settings"]["queueTypes"][0], "idempotency": "perhaps"}]}, "idempotency"),
-    ({"queueTypes": 2 * GOOD["settings"]["queueTypes"]}, "stands twice"),
-    ({"prices": {"peer": "nan"}}, "prices.peer"), ({"scoreParts": {"borneMisses": -1}}, "borneMisses"),
-    ({"balancers": 0}, "balancers")])
+@pytest.mark.parametrize(
+    ("changed", "says"),
+    [
+        ({"queueTypes": [{**GOOD["settings"]["queueTypes"][0], "idempotency": "perhaps"}]}, "idempotency"),
+        ({"queueTypes": 2 * GOOD["settings"]["queueTypes"]}, "stands twice"),
+        ({"prices": {"peer": "nan"}}, "prices.peer"),
+        ({"scoreParts": {"borneMisses": -1}}, "borneMisses"),
+        ({"balancers": 0}, "balancers"),
+    ],
+)
 def test_settings_that_fail_their_check_change_nothing_in_a_running_program(changed, says, tmp_path):
     rig = Rig()
     path = file(tmp_path)
@@ -386,9 +477,13 @@
     assert phases.handed({"may_message": True, "queue_types": []})["may_message"] is False
 
 
-@pytest.mark.parametrize(("hidden", "words", "says"), [
-    ("msgspec", ["serve"], "peers needs msgspec: pip install -r requirements-fleet.txt"),
-    ("numpy", ["lab", "names"], "the laboratory needs numpy: pip install -r requirements-lab.txt")])
+@pytest.mark.parametrize(
+    ("hidden", "words", "says"),
+    [
+        ("msgspec", ["serve"], "peers needs msgspec: pip install -r requirements-fleet.txt"),
+        ("numpy", ["lab", "names"], "the laboratory needs numpy: pip install -r requirements-lab.txt"),
+    ],
+)
 def test_a_package_that_is_missing_is_one_line(hidden, words, says, tmp_path):
     (tmp_path / "hidden").mkdir()
     (tmp_path / "hidden" / f"{hidden}.py").write_text(f"raise ModuleNotFoundError(name={hidden!r})\n")
@@ -396,6 +491,7 @@
     if words == ["serve"]:
         words = ["serve", "--config", str(file(tmp_path, name="n0", peers=peers))]
     env = {**os.environ, "PYTHONPATH": str(tmp_path / "hidden")}
-    done = subprocess.run([sys.executable, "-B", "-m", "mastledge", *words], capture_output=True, text=True,
-                          env=env)
+    done = subprocess.run(
+        [sys.executable, "-B", "-m", "mastledge", *words], capture_output=True, text=True, env=env
+    )
     assert done.returncode == 2 and done.stderr == f"mastledge: {says}\n"
--- a/tests/test_recovering.py
+++ b/tests/test_recovering.py
@@ -84,8 +84,10 @@
     ended(made)
 
 
-@pytest.mark.parametrize(("spoil", "says"), [(lambda raw: b"x" + raw, "no journal"),
-                                             (lambda raw: raw[:60] + b"\xff" + raw[61:], "spoilt")])
+@pytest.mark.parametrize(
+    ("spoil", "says"),
+    [(lambda raw: b"x" + raw, "no journal"), (lambda raw: raw[:60] + b"\xff" + raw[61:], "spoilt")],
+)
 def test_a_spoilt_folder_is_begun_anew_and_nothing_of_it_believed(tmp_path, spoil, says):
     made = started(tmp_path)
     lists(made, 7, "ready", "draining")
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -55,12 +55,16 @@
     made.close()
 
 
-@pytest.mark.parametrize(("before", "after", "answer"), [
-    (b"", CHUNKED + chunk("started") + chunk("done", result="r") + b"0\r\n\r\n", b"HTTP/1.1 200"),
-    (CHUNKED + chunk("started"), chunk("done", result="r") + b"0\r\n\r\n", b"HTTP/1.1 200"),
-    (CHUNKED + chunk("started") + chunk("running"), chunk("lost") + b"0\r\n\r\n", b"HTTP/1.1 500"),
-    (CHUNKED, b"", b"HTTP/1.1 500"),
-    (CHUNKED, b"nonsense\r\n", b"HTTP/1.1 500")])
+@pytest.mark.parametrize(
+    ("before", "after", "answer"),
+    [
+        (b"", CHUNKED + chunk("started") + chunk("done", result="r") + b"0\r\n\r\n", b"HTTP/1.1 200"),
+        (CHUNKED + chunk("started"), chunk("done", result="r") + b"0\r\n\r\n", b"HTTP/1.1 200"),
+        (CHUNKED + chunk("started") + chunk("running"), chunk("lost") + b"0\r\n\r\n", b"HTTP/1.1 500"),
+        (CHUNKED, b"", b"HTTP/1.1 500"),
+        (CHUNKED, b"nonsense\r\n", b"HTTP/1.1 500"),
+    ],
+)
 def test_a_job_outlasts_its_process_and_gets_its_one_answer(before, after, answer, handing):
     # It ran for seconds, and was killed with the old process.
     handing.worker.sendall(before)
@@ -86,8 +90,9 @@
     assert handing.turn(lambda: not handing.new.made.relay.exchanges and not handing.new.made.door.in_hand)
 
 
-@pytest.mark.parametrize("sent", [CHUNKED + chunk("started")[:-6], CHUNKED[:30],
-                                  b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n"])
+@pytest.mark.parametrize(
+    "sent", [CHUNKED + chunk("started")[:-6], CHUNKED[:30], b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n"]
+)
 def test_what_stands_at_no_clear_place_ends_as_before(sent, handing):
     handing.worker.sendall(sent)
     handing.ends(lambda: handing.old.made.phase == "ended")
@@ -124,15 +129,23 @@
 def test_where_nobody_is_the_job_stays(handing, monkeypatch):
     def refused(*told):
         raise ConnectionRefusedError("nobody")
+
     monkeypatch.setattr(passing, "put", refused)
     handing.ends(lambda: handing.old.made.phase == "ended")
     assert handing.old.rig.reply(handing.client).startswith(b"HTTP/1.1 503")
     assert handing.logged(handing.old, "not_handed_on")
 
 
-@pytest.mark.parametrize(("raw", "count"), [
-    (b"nonsense", 2), (b"{}", 2), (b'{"name":"x","kind":"render","until":"soon","headed":true,"rest":""}', 2),
-    (b"{}", 1), (b"{}", 0)])
+@pytest.mark.parametrize(
+    ("raw", "count"),
+    [
+        (b"nonsense", 2),
+        (b"{}", 2),
+        (b'{"name":"x","kind":"render","until":"soon","headed":true,"rest":""}', 2),
+        (b"{}", 1),
+        (b"{}", 0),
+    ],
+)
 def test_what_cannot_be_taken_up_is_closed(raw, count, handing):
     new, door = handing.new.made, listen((HERE, 0))
     door.setblocking(True)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -20,8 +20,10 @@
     return {name: {"votes": name[0] == "n", "life": "l", "address": name} for name in names}
 
 
-@pytest.mark.parametrize(("count", "fan_out", "widths"), [
-    (0, 6, [7]), (42, 6, [7, 42]), (223, 6, [7, 42, 181]), (993, 12, [7, 84, 909])])
+@pytest.mark.parametrize(
+    ("count", "fan_out", "widths"),
+    [(0, 6, [7]), (42, 6, [7, 42]), (223, 6, [7, 42, 181]), (993, 12, [7, 84, 909])],
+)
 def test_each_follower_has_relays_of_the_level_above_and_no_more_than_its_part_hear_from_one(
     count, fan_out, widths
 ):
@@ -40,8 +42,11 @@
     before, some = Tree(members(7, 223), 6), members(7, 223)
     del some["x0100"]
     after = Tree(some, 6)
-    moved = sum(before.relays(name, "n0")[0] != after.relays(name, "n0")[0] for name in after.places
-                if after.level(name) and before.level(name))
+    moved = sum(
+        before.relays(name, "n0")[0] != after.relays(name, "n0")[0]
+        for name in after.places
+        if after.level(name) and before.level(name)
+    )
     assert before.levels[0] == after.levels[0] and len(set(before.levels[1]) ^ set(after.levels[1])) <= 2
     assert moved <= len(after.places)
 
@@ -121,8 +126,18 @@
             super().hear_news(news)
 
 
-@pytest.mark.parametrize(("build", "first"), [  # the search begins just before the schedule that shows it
-    (Generous, 17), (Boastful, 0), (Hasty, 262), (Forgetful, 83), (Credulous, 25), (Early, 10), (Mute, 1)])
+@pytest.mark.parametrize(
+    ("build", "first"),
+    [  # the search begins just before the schedule that shows it
+        (Generous, 17),
+        (Boastful, 0),
+        (Hasty, 262),
+        (Forgetful, 83),
+        (Credulous, 25),
+        (Early, 10),
+        (Mute, 1),
+    ],
+)
 def test_a_wrong_build_is_caught(build, first):
     for seed in range(first, first + TRIED):
         try:
@@ -137,8 +152,10 @@
 
 def test_the_leader_speaks_to_the_voters_alone_and_all_hold_leases():
     fleet = begun(5, 60, 3, 4)
-    assert fleet.run(60_000_000, lambda: rests(fleet) and all(
-        node.member.may_act(node.clock()) for node in fleet.nodes.values()))
+    assert fleet.run(
+        60_000_000,
+        lambda: rests(fleet) and all(node.member.may_act(node.clock()) for node in fleet.nodes.values()),
+    )
     fleet.run(fleet.now + 2 * LEASE)
     leader, told, send = fleet.leader(), set(), Fleet.send
 
@@ -159,8 +176,11 @@
     assert fleet.run(60_000_000, lambda: rests(fleet))
     fleet.run(fleet.now + 30_000_000)
     leader = fleet.leader()
-    relay = next(name for name in leader.member.tree().levels[victim]
-                 if fleet.nodes[name].member.children and name != leader.name)
+    relay = next(
+        name
+        for name in leader.member.tree().levels[victim]
+        if fleet.nodes[name].member.children and name != leader.name
+    )
     fleet.nodes[relay].crash()
     without = dict.fromkeys(fleet.nodes, 0)
     for _ in range(300):
@@ -178,11 +198,18 @@
         fleet.run(fleet.now + 3_000_000)
         leader = fleet.leader()
         fleet.propose(leader.name, f"relays{fan_out}", {"kind": "relays", "fan_out": fan_out})
-        assert fleet.run(fleet.now + 20_000_000, lambda n=fan_out: all(
-            node.member.fan_out == n and node.member.may_act(node.clock())
-            for node in fleet.nodes.values()) and rests(fleet))
-        assert fleet.run(fleet.now + 20_000_000, lambda n=fan_out: bool(n) == any(
-            node.member.children for node in fleet.nodes.values()))
+        assert fleet.run(
+            fleet.now + 20_000_000,
+            lambda n=fan_out: all(
+                node.member.fan_out == n and node.member.may_act(node.clock())
+                for node in fleet.nodes.values()
+            )
+            and rests(fleet),
+        )
+        assert fleet.run(
+            fleet.now + 20_000_000,
+            lambda n=fan_out: bool(n) == any(node.member.children for node in fleet.nodes.values()),
+        )
 
 
 class Older(Sized):
@@ -193,8 +220,9 @@
         for n, output in enumerate(out):
             if output[0] == "send" and isinstance(output[2], m.Ack):
                 ack = output[2]
-                older = m.Ack(ack.term, ack.yes, ack.safe, ack.safe_term, ack.applied, ack.stamp, ack.clock,
-                              ack.hint)
+                older = m.Ack(
+                    ack.term, ack.yes, ack.safe, ack.safe_term, ack.applied, ack.stamp, ack.clock, ack.hint
+                )
                 out[n] = ("send", output[1], older)
         return out
 
@@ -232,13 +260,17 @@
     assert m.decode(raw).leader == "" and m.decode(raw).lists == {}
 
 
-@pytest.mark.parametrize(("before", "after", "changes"), [
-    ({"a": 1, "b": [1, {"c": 2}]}, {"a": 1, "b": [1, {"c": 3}]}, [[["b", 1, "c"], 3]]),
-    ({"a": 1}, {"a": 1}, []),
-    ({"a": {"b": 1}}, {"a": {"c": 1}}, [[["a"], {"c": 1}]]),
-    ({"a": [1]}, {"a": [1, 2]}, [[["a"], [1, 2]]]),
-    ({"a": 1}, {"a": True}, [[["a"], True]]),
-    ({"a": 1}, {"b": 1}, None)])
+@pytest.mark.parametrize(
+    ("before", "after", "changes"),
+    [
+        ({"a": 1, "b": [1, {"c": 2}]}, {"a": 1, "b": [1, {"c": 3}]}, [[["b", 1, "c"], 3]]),
+        ({"a": 1}, {"a": 1}, []),
+        ({"a": {"b": 1}}, {"a": {"c": 1}}, [[["a"], {"c": 1}]]),
+        ({"a": [1]}, {"a": [1, 2]}, [[["a"], [1, 2]]]),
+        ({"a": 1}, {"a": True}, [[["a"], True]]),
+        ({"a": 1}, {"b": 1}, None),
+    ],
+)
 def test_settings_differ_in_places(before, after, changes):
     assert difference(before, after) == changes
     if changes is not None:
@@ -249,8 +281,9 @@
     rules = Rules(genesis({"a": {"b": 1}}, LEASE, {"n0": ("x:1", "l")}), 1)
 
     def change(index, changes, expects):
-        return rules.apply(index, m.Entry(1, f"c{index}", {
-            "kind": "patch", "changes": changes, "expects": expects}))
+        return rules.apply(
+            index, m.Entry(1, f"c{index}", {"kind": "patch", "changes": changes, "expects": expects})
+        )
 
     assert change(2, [[["a", "b"], 2]], 1) == {"version": 2}
     assert rules.state["settings"] == {"a": {"b": 2}} and rules.state["documents"]["2"] == {"a": {"b": 2}}
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -13,30 +13,57 @@
 from mastledge.lab.scale.options import BadOptions, ScaleOptions, check
 
 CALL = [sys.executable, "-B", "-m", "mastledge", "lab", "scale"]
-SMALL = ["--real", "3", "--hollow", "9", "--voters", "3", "--workers", "12", "--zones", "2", "--regions", "2",
-         "--round-trip-ms", "20", "--changes-per-second", "2", "--restarts-per-second", "2",
-         "--jobs-per-second", "20", "--seconds", "4", "--fan-out", "3"]
-
-
-@pytest.mark.parametrize(("changed", "says"), [
-    ({"real": 1}, "--real is not from 2 to 1024: 1"),
-    ({"real": 0}, "--real is not from"),
-    ({"hollow": -1}, "--hollow is not from"),
-    ({"real": 600, "hollow": 600}, "1200 together, over 1024"),
-    ({"voters": 4}, "--voters is even: 4"),
-    ({"voters": 9}, "--voters is not from 1 to 7"),
-    ({"real": 2, "hollow": 0, "voters": 3}, "--voters is over all dispatchers: 3 of 2"),
-    ({"workers": 5000}, "--workers is not from 1 to 4096"),
-    ({"regions": 3, "zones": 2}, "--zones is below --regions: 2 of 3"),
-    ({"round_trip_ms": -1.0}, "--round-trip-ms is not from"),
-    ({"changes_per_second": float("nan")}, "--changes-per-second is not from"),
-    ({"jobs_per_second": 1e9}, "--jobs-per-second is not from"),
-    ({"seconds": 0.0}, "--seconds is not from"),
-    ({"fan_out": 1}, "--fan-out is 1"),
-    ({"rack_at": 50.0}, "--rack-at is not within --seconds"),
-    ({"out": ""}, "--out is missing"),
-    ({"real": 400}, "processes would run, over 300"),
-    ({"real": 200, "workers": 4096, "memory": 8 << 30}, "half of this machine's memory")])
+SMALL = [
+    "--real",
+    "3",
+    "--hollow",
+    "9",
+    "--voters",
+    "3",
+    "--workers",
+    "12",
+    "--zones",
+    "2",
+    "--regions",
+    "2",
+    "--round-trip-ms",
+    "20",
+    "--changes-per-second",
+    "2",
+    "--restarts-per-second",
+    "2",
+    "--jobs-per-second",
+    "20",
+    "--seconds",
+    "4",
+    "--fan-out",
+    "3",
+]
+
+
+@pytest.mark.parametrize(
+    ("changed", "says"),
+    [
+        ({"real": 1}, "--real is not from 2 to 1024: 1"),
+        ({"real": 0}, "--real is not from"),
+        ({"hollow": -1}, "--hollow is not from"),
+        ({"real": 600, "hollow": 600}, "1200 together, over 1024"),
+        ({"voters": 4}, "--voters is even: 4"),
+        ({"voters": 9}, "--voters is not from 1 to 7"),
+        ({"real": 2, "hollow": 0, "voters": 3}, "--voters is over all dispatchers: 3 of 2"),
+        ({"workers": 5000}, "--workers is not from 1 to 4096"),
+        ({"regions": 3, "zones": 2}, "--zones is below --regions: 2 of 3"),
+        ({"round_trip_ms": -1.0}, "--round-trip-ms is not from"),
+        ({"changes_per_second": float("nan")}, "--changes-per-second is not from"),
+        ({"jobs_per_second": 1e9}, "--jobs-per-second is not from"),
+        ({"seconds": 0.0}, "--seconds is not from"),
+        ({"fan_out": 1}, "--fan-out is 1"),
+        ({"rack_at": 50.0}, "--rack-at is not within --seconds"),
+        ({"out": ""}, "--out is missing"),
+        ({"real": 400}, "processes would run, over 300"),
+        ({"real": 200, "workers": 4096, "memory": 8 << 30}, "half of this machine's memory"),
+    ],
+)
 def test_an_impossible_figure_is_one_line_that_names_it(changed, says):
     memory = changed.pop("memory", 64 << 30)
     with pytest.raises(BadOptions) as error:
@@ -44,12 +71,16 @@
     assert says in str(error.value) and "\n" not in str(error.value)
 
 
-@pytest.mark.parametrize(("words", "says"), [
-    (["--real", "many"], "invalid int value"),
-    (["--reals", "3"], "unrecognized arguments"),
-    (["--voters", "2", "--out", "{}"], "--voters is even"),
-    (["--out", "/proc/nowhere"], "--out: "),
-    ([], "--out is missing")])
+@pytest.mark.parametrize(
+    ("words", "says"),
+    [
+        (["--real", "many"], "invalid int value"),
+        (["--reals", "3"], "unrecognized arguments"),
+        (["--voters", "2", "--out", "{}"], "--voters is even"),
+        (["--out", "/proc/nowhere"], "--out: "),
+        ([], "--out is missing"),
+    ],
+)
 def test_bad_input_ends_with_status_2_before_anything_starts(words, says, tmp_path):
     words = [word.format(tmp_path / "out") for word in words]
     done = subprocess.run([*CALL, *words], capture_output=True, text=True)
@@ -78,8 +109,13 @@
 
 
 def test_a_small_run_is_whole(tmp_path):
-    done = subprocess.run([*CALL, *SMALL, "--quiet", "--out", str(tmp_path)], capture_output=True, text=True,
-                          env=marked(), timeout=120)
+    done = subprocess.run(
+        [*CALL, *SMALL, "--quiet", "--out", str(tmp_path)],
+        capture_output=True,
+        text=True,
+        env=marked(),
+        timeout=120,
+    )
     with open(tmp_path / "scale.json") as file:
         told = json.load(file)
     assert done.returncode == 0 and told["complete"] and not told["faults"], (done.stderr, told["why"])
@@ -100,8 +136,12 @@
 
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
 def test_a_run_that_is_cut_off_is_marked_and_ends_what_it_started(number, tmp_path):
-    run = subprocess.Popen([*CALL, *SMALL, "--seconds", "60", "--out", str(tmp_path)], env=marked(),
-                           stdout=subprocess.PIPE, text=True)
+    run = subprocess.Popen(
+        [*CALL, *SMALL, "--seconds", "60", "--out", str(tmp_path)],
+        env=marked(),
+        stdout=subprocess.PIPE,
+        text=True,
+    )
     try:
         assert "are ready" in run.stdout.readline()
         assert len(left()) > 4
@@ -126,8 +166,13 @@
 
 def test_processor_time_is_told_apart_by_purpose():
     before = {"at": 0, "process_us": 0, "thread_us": 0, "spent_us": {}, "steps": {}}
-    after = {"at": 1_000_000, "process_us": 12_000, "thread_us": 10_000,
-             "spent_us": {"agreement": 3_000, "jobs": 5_000}, "steps": {"agreement": 10, "jobs": 30}}
+    after = {
+        "at": 1_000_000,
+        "process_us": 12_000,
+        "thread_us": 10_000,
+        "spent_us": {"agreement": 3_000, "jobs": 5_000},
+        "steps": {"agreement": 10, "jobs": 30},
+    }
     told = meter.share(before, after)
     # 2,000 us of the loop by steps, and 2,000 of another thread.
     assert told["agreement"] == 3_000 + 500 + 2_000 and told["jobs"] == 5_000 + 1_500
@@ -136,8 +181,15 @@
 
 def run_of(size, control):
     some = {"all": [size, 10.0 * size]}
-    row = {"role": "leader", "cpu_percent": {"control": control}, "memory_over_idle_mb": 1.0, "sent": some,
-           "received": some, "descriptors": 9, "longest_turn_ms": 2.0}
+    row = {
+        "role": "leader",
+        "cpu_percent": {"control": control},
+        "memory_over_idle_mb": 1.0,
+        "sent": some,
+        "received": some,
+        "descriptors": 9,
+        "longest_turn_ms": 2.0,
+    }
     return {"complete": True, "options": {"real": 6, "hollow": size - 6}, "dispatchers": [row]}
 
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -49,10 +49,18 @@
 
 def kept(**changed):
     workers = {"w0": b.Worker("ready", 0, HERE), "w1": b.Worker("draining", 5_000, HERE)}
-    told = {"at": 100_000_000, "mono": 50_000_000, "boot": "x", "registry": "r", "generation": 7,
-            "listed_at": 100_000_000, "workers": workers, "learned_at": 100_000_000,
-            "learned": {"w0": [4.0, 4.0, 1.5, []]},
-            "out": {"w0": b.Out(0, HERE, 3.0, 102_000_000), "w1": b.Out(5_000, HERE, 2.0, 100_500_000)}}
+    told = {
+        "at": 100_000_000,
+        "mono": 50_000_000,
+        "boot": "x",
+        "registry": "r",
+        "generation": 7,
+        "listed_at": 100_000_000,
+        "workers": workers,
+        "learned_at": 100_000_000,
+        "learned": {"w0": [4.0, 4.0, 1.5, []]},
+        "out": {"w0": b.Out(0, HERE, 3.0, 102_000_000), "w1": b.Out(5_000, HERE, 2.0, 100_500_000)},
+    }
     return b.Kept(**{**told, **changed})
 
 
@@ -135,8 +143,11 @@
 def test_records_amount_to_what_was_kept(cut, again):
     keeper, when = b.Keeper(), (9, 8, "x")
     workers = {"w0": ["ready", 0, HERE, "a", "m", 0, 1.0]}
-    records = [["list", *when, "r", 7, workers], ["out", 10, 9, "x", {"w0": [0, HERE, 2.0, 30]}],
-               ["learned", 11, 10, "x", {"w0": [1.0, 1.0, 1.0, []]}]]
+    records = [
+        ["list", *when, "r", 7, workers],
+        ["out", 10, 9, "x", {"w0": [0, HERE, 2.0, 30]}],
+        ["learned", 11, 10, "x", {"w0": [1.0, 1.0, 1.0, []]}],
+    ]
     for record in records[:cut]:
         keeper.take(msgspec.msgpack.decode(msgspec.msgpack.encode(record)))
     other = b.Keeper()
@@ -252,8 +263,14 @@
     assert made.admit(now, False) is None and not made.closed
 
 
-@given(st.lists(st.tuples(st.sampled_from(["first", "further", DONE, TURNED, ELSE]), st.integers(0, 200_000)),
-                max_size=300), st.integers(1, 64), st.integers(1, 8))
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["first", "further", DONE, TURNED, ELSE]), st.integers(0, 200_000)),
+        max_size=300,
+    ),
+    st.integers(1, 64),
+    st.integers(1, 8),
+)
 @settings(max_examples=200, deadline=None)
 def test_no_order_of_events_lets_in_more_than_there_is_room_for(events, slots, dispatchers):
     made, now, held = Opening(3, 0, 10**12, 500_000), 0, 0
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -29,9 +29,23 @@
 
 
 def told(generation, state="ready", reset=False, count=1, **how):
-    list_ = {"generation": generation, "reset": reset, "instances": [
-        {"instanceId": f"s-{n}", "hostPort": "10.1.0.18:7070", "zone": "z", "machineType": "k", "cell": 2,
-         "lifecycle": state, "weight": 1.5, "startedAtMs": 0} for n in range(count)]}
+    list_ = {
+        "generation": generation,
+        "reset": reset,
+        "instances": [
+            {
+                "instanceId": f"s-{n}",
+                "hostPort": "10.1.0.18:7070",
+                "zone": "z",
+                "machineType": "k",
+                "cell": 2,
+                "lifecycle": state,
+                "weight": 1.5,
+                "startedAtMs": 0,
+            }
+            for n in range(count)
+        ],
+    }
     return orjson.dumps(list_, **how) + b"\n"
 
 
@@ -195,13 +209,14 @@
     assert not [fields for event, fields in agent.rig.logged if event == "discovery_broken"]
 
 
-@pytest.mark.parametrize("raw", [b'{\n "generation": 9\n\n', b'{\n' + told(9)])
+@pytest.mark.parametrize("raw", [b'{\n "generation": 9\n\n', b"{\n" + told(9)])
 def test_an_indented_change_that_is_cut_off_is_a_bad_one(raw, agent):
     (watch,) = agent.calls
     watch.sendall(chunk(raw))
     agent.goes_on(100_000)
     assert [fields["why"] for event, fields in agent.rig.logged if event == "discovery_broken"][0].startswith(
-        "bad list: cut off")
+        "bad list: cut off"
+    )
 
 
 class InTurn:
@@ -220,8 +235,9 @@
         self.made = [discovery(rig, self.sock.getsockname(), True) for _ in range(count)]
         self.calls, self.queue, self.free = [], [], 0
         self.watches = {}  # open ones, and when each gets its next empty line
-        self.clock.peers_due = lambda: min([at for at, _ in self.queue[:1]] + list(self.watches.values()),
-                                           default=None)
+        self.clock.peers_due = lambda: min(
+            [at for at, _ in self.queue[:1]] + list(self.watches.values()), default=None
+        )
         for one in self.made:
             one.generation = 1
             one.follow()
@@ -274,7 +290,8 @@
     place = InTurn(rig, count, each)
     within = min(TOLD, count * each + LONGEST)
     assert place.clock.run(lambda: all(one.answered for one in place.made), within, place.serves), sum(
-        one.answered for one in place.made)
+        one.answered for one in place.made
+    )
     for one in place.made:
         rig.loop.cancel(one.task)
     for one in (place.sock, *place.calls):
@@ -300,14 +317,20 @@
         host = f"127.{128 + n}.{os.getpid() >> 8 & 255}.{os.getpid() & 255}"
         self.listen, self.control = f"{host}:7070", f"{host}:7071"
         path.mkdir(exist_ok=True)
-        self.place = file(path, listen=self.listen, control=self.control, **{
-            "discovery": at(self.disc), "known": self.list_(), "limits": {"sockets": sockets},
-            **changed})
+        self.place = file(
+            path,
+            listen=self.listen,
+            control=self.control,
+            **{"discovery": at(self.disc), "known": self.list_(), "limits": {"sockets": sockets}, **changed},
+        )
         self.began = time.monotonic()
         self.run = subprocess.Popen(
-            [sys.executable, "-B", "-m", "mastledge", "serve", "--config", self.place], cwd=ROOT,
-            env={**os.environ, "TMPDIR": str(path)}, stderr=subprocess.DEVNULL,
-            preexec_fn=lambda: self.narrow(sockets, core))
+            [sys.executable, "-B", "-m", "mastledge", "serve", "--config", self.place],
+            cwd=ROOT,
+            env={**os.environ, "TMPDIR": str(path)},
+            stderr=subprocess.DEVNULL,
+            preexec_fn=lambda: self.narrow(sockets, core),
+        )
 
     def narrow(self, sockets, core):
         resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))
@@ -315,10 +338,23 @@
             os.sched_setaffinity(0, {core})
 
     def list_(self, generation=1, state="ready"):
-        return {"generation": generation, "reset": True, "instances": [
-            {"instanceId": f"s-{n}", "hostPort": at(sock), "zone": "z", "cell": 0,
-             "machineType": "k", "lifecycle": state if n == 0 else "ready", "weight": 1.0, "startedAtMs": 0}
-            for n, sock in enumerate(self.workers)]}
+        return {
+            "generation": generation,
+            "reset": True,
+            "instances": [
+                {
+                    "instanceId": f"s-{n}",
+                    "hostPort": at(sock),
+                    "zone": "z",
+                    "cell": 0,
+                    "machineType": "k",
+                    "lifecycle": state if n == 0 else "ready",
+                    "weight": 1.0,
+                    "startedAtMs": 0,
+                }
+                for n, sock in enumerate(self.workers)
+            ],
+        }
 
     def connect(self, where="listen"):
         host, _, port = getattr(self, where).rpartition(":")
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -8,8 +8,9 @@
 from mastledge.transport.loop import READ
 
 
-@pytest.mark.parametrize("parts", [[b"one\ntwo\nthr", b"ee\n"], [b"o", b"ne\n", b"two\nthree\n"],
-                                   [b"one\ntwo\nthree\n"]])
+@pytest.mark.parametrize(
+    "parts", [[b"one\ntwo\nthr", b"ee\n"], [b"o", b"ne\n", b"two\nthree\n"], [b"one\ntwo\nthree\n"]]
+)
 def test_lines_come_whole_however_their_bytes_came(parts):
     buffer, lines = Buffer(), []
     for part in parts:
@@ -85,8 +86,9 @@
     assert rig.budget.used["clients"] == 0 and conn.fd == -1
 
 
-@pytest.mark.parametrize(("closes", "taken"), [
-    ([True, True], ["first"]), ([False, True], ["first", "second"])])
+@pytest.mark.parametrize(
+    ("closes", "taken"), [([True, True], ["first"]), ([False, True], ["first", "second"])]
+)
 def test_the_longest_idle_goes_first_and_one_that_may_not_is_passed_over(closes, taken):
     rig, asked = Rig(), []
     for name, does in zip(("first", "second"), closes, strict=True):
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -51,32 +51,39 @@
     return [item[2:] for item in rig.inbox.items if item[0] == "ended"][0]
 
 
-@pytest.mark.parametrize(("answer", "how", "kept"), [
-    (CHUNKED + line("started") + line("running", share=0.5) + line("done", result="r") + b"0\r\n\r\n",
-     "completed", True),
-    (CHUNKED + line("failed") + b"0\r\n\r\n", "error", True),
-    (CHUNKED + line("returned") + b"0\r\n\r\n", "full", True),
-    (CHUNKED + line("lost") + b"0\r\n\r\n", "lost", False),
-    (CHUNKED + line("started") + b"0\r\n\r\n", "lost", False),
-    (CHUNKED + line("started"), "lost", False),
-    (CHUNKED + line("started").replace(b"\n\r\n", b" \r\n") + b"0\r\n\r\n", "lost", None),
-    (b"HTTP/1.1 102 Processing\r\n\r\n" + plain(500), "error", True),
-    (b"", "lost", False),
-    (b"HTTP/1.1 200 OK\r\nTransfer-Enc", "lost", False),
-    (b"no HTTP at all\r\n\r\n", "lost", False),
-    (plain(500), "error", True),
-    (plain(503, b"X-Turned-Away: 1\r\n"), "full", True),
-    (plain(504, b"X-Turned-Away: 1\r\n"), "full", True),
-    (plain(503), "error", True),
-    (plain(400), "error", True),
-    (CHUNKED + b"3\r\n{]\n\r\n", "error", None),
-    (CHUNKED + b"4\r\n[1]\n\r\n", "error", None),
-    (CHUNKED + line("done", "other", result="r"), "error", None),
-    (CHUNKED + line("done"), "error", None),
-    (CHUNKED + line("dreaming"), "error", None),
-    (CHUNKED + line("started") + b"zz\r\n", "lost", False),
-    (OPEN, "timeout", False),
-], ids=range(23))
+@pytest.mark.parametrize(
+    ("answer", "how", "kept"),
+    [
+        (
+            CHUNKED + line("started") + line("running", share=0.5) + line("done", result="r") + b"0\r\n\r\n",
+            "completed",
+            True,
+        ),
+        (CHUNKED + line("failed") + b"0\r\n\r\n", "error", True),
+        (CHUNKED + line("returned") + b"0\r\n\r\n", "full", True),
+        (CHUNKED + line("lost") + b"0\r\n\r\n", "lost", False),
+        (CHUNKED + line("started") + b"0\r\n\r\n", "lost", False),
+        (CHUNKED + line("started"), "lost", False),
+        (CHUNKED + line("started").replace(b"\n\r\n", b" \r\n") + b"0\r\n\r\n", "lost", None),
+        (b"HTTP/1.1 102 Processing\r\n\r\n" + plain(500), "error", True),
+        (b"", "lost", False),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Enc", "lost", False),
+        (b"no HTTP at all\r\n\r\n", "lost", False),
+        (plain(500), "error", True),
+        (plain(503, b"X-Turned-Away: 1\r\n"), "full", True),
+        (plain(504, b"X-Turned-Away: 1\r\n"), "full", True),
+        (plain(503), "error", True),
+        (plain(400), "error", True),
+        (CHUNKED + b"3\r\n{]\n\r\n", "error", None),
+        (CHUNKED + b"4\r\n[1]\n\r\n", "error", None),
+        (CHUNKED + line("done", "other", result="r"), "error", None),
+        (CHUNKED + line("done"), "error", None),
+        (CHUNKED + line("dreaming"), "error", None),
+        (CHUNKED + line("started") + b"zz\r\n", "lost", False),
+        (OPEN, "timeout", False),
+    ],
+    ids=range(23),
+)
 def test_each_end_of_a_launch_is_told_once(answer, how, kept):
     rig = Rig()
     peer, sock = peer_at()
@@ -154,9 +161,14 @@
     assert outcome(rig)[0] == "error" and rig.budget.used["workers"] == 1
 
 
-@pytest.mark.parametrize(("once", "answer", "how", "sent"), [
-    (True, None, "unsent", False), (False, None, "dropped", True),
-    (False, CHUNKED + line("started"), "lost", True)])
+@pytest.mark.parametrize(
+    ("once", "answer", "how", "sent"),
+    [
+        (True, None, "unsent", False),
+        (False, None, "dropped", True),
+        (False, CHUNKED + line("started"), "lost", True),
+    ],
+)
 def test_a_kept_connection_that_breaks_at_the_next_launch(once, answer, how, sent, monkeypatch):
     # Workers end idle connections at will: what may run once only must not count as run for that, and no
     # worker is to be set aside for it. One that has begun to answer is another matter.
@@ -177,8 +189,9 @@
     assert request.endswith(b"\r\n\r\n" + (b"" if once else b"x"))
 
 
-@pytest.mark.parametrize(("once", "breaks", "fresh"), [
-    (True, 0.0, False), (True, 0.1, True), (False, 0.1, False)])
+@pytest.mark.parametrize(
+    ("once", "breaks", "fresh"), [(True, 0.0, False), (True, 0.1, True), (False, 0.1, False)]
+)
 def test_run_once_jobs_get_new_connections_while_kept_ones_break(once, breaks, fresh):
     # A kept one that breaks at the last byte leaves a run-once job that may have run, and it is killed.
     rig = Rig()
@@ -246,13 +259,24 @@
 
 
 def told(generation=3, reset=False, **changed):
-    one = {"instanceId": "s-1", "hostPort": "10.1.0.18:7070", "zone": "z", "machineType": "k", "cell": 2,
-           "lifecycle": "ready", "weight": 1.5, "startedAtMs": 0, **changed}
+    one = {
+        "instanceId": "s-1",
+        "hostPort": "10.1.0.18:7070",
+        "zone": "z",
+        "machineType": "k",
+        "cell": 2,
+        "lifecycle": "ready",
+        "weight": 1.5,
+        "startedAtMs": 0,
+        **changed,
+    }
     return {"generation": generation, "reset": reset, "instances": [one]}
 
 
-@pytest.mark.parametrize(("zone", "kind", "started", "says"), [
-    ("z", "k", 0, (0, 0, 0)), ("new", "k", 0, (1, 0, 0)), ("z", "new", 5_001_000, (0, 1, 1_000_000))])
+@pytest.mark.parametrize(
+    ("zone", "kind", "started", "says"),
+    [("z", "k", 0, (0, 0, 0)), ("new", "k", 0, (1, 0, 0)), ("z", "new", 5_001_000, (0, 1, 1_000_000))],
+)
 def test_an_entry_becomes_plain_values(zone, kind, started, says):
     rig = Rig()
     made = discovery(rig)
@@ -261,9 +285,18 @@
     assert entry == ("s-1", ("10.1.0.18", 7070), says[0], "ready", says[2], says[1], 2, 1.5)
 
 
-@pytest.mark.parametrize("changed", [
-    {"hostPort": "nowhere"}, {"hostPort": "a.name:7070"}, {"lifecycle": "odd"}, {"cell": None},
-    {"instanceId": 4}, {"startedAtMs": "x"}, {"zone": []}])
+@pytest.mark.parametrize(
+    "changed",
+    [
+        {"hostPort": "nowhere"},
+        {"hostPort": "a.name:7070"},
+        {"lifecycle": "odd"},
+        {"cell": None},
+        {"instanceId": 4},
+        {"startedAtMs": "x"},
+        {"zone": []},
+    ],
+)
 @pytest.mark.parametrize("whole", [None, "whole"])
 def test_a_bad_entry_spoils_a_change_but_not_a_whole_list(changed, whole):
     rig = Rig()
@@ -278,10 +311,16 @@
         assert [entry[0] for entry in rig.inbox.items[0][2]] == ["s-2"]
 
 
-@pytest.mark.parametrize("list_", [
-    {}, {"generation": "1", "reset": False, "instances": []},
-    {"generation": 1, "reset": False, "instances": None}, {"generation": 1, "instances": []},
-    {"generation": 1, "reset": False, "instances": [[]]}])
+@pytest.mark.parametrize(
+    "list_",
+    [
+        {},
+        {"generation": "1", "reset": False, "instances": []},
+        {"generation": 1, "reset": False, "instances": None},
+        {"generation": 1, "instances": []},
+        {"generation": 1, "reset": False, "instances": [[]]},
+    ],
+)
 def test_a_list_of_another_shape_is_bad(list_):
     rig = Rig()
     with pytest.raises(BadList):
@@ -289,13 +328,16 @@
     assert not rig.inbox.items
 
 
-@pytest.mark.parametrize(("answers", "kinds", "asks"), [
-    ([CHUNKED + b"1\r\n\n\r\n"], ["changes"], [b"follow=1&since=7"]),
-    ([CHUNKED + b"5\r\n{bad\n\r\n", plain(200)], ["changes", "failed"],
-     [b"since=7", b"instances HTTP"]),
-    ([plain(500), CHUNKED], ["failed", "changes"], [b"follow=1&since=7", b"follow=1&since=7"]),
-    ([b"", CHUNKED], ["failed", "changes"], [b"follow=1&since=7", b"follow=1&since=7"]),
-], ids=["empty line", "bad line", "refused", "broken"])
+@pytest.mark.parametrize(
+    ("answers", "kinds", "asks"),
+    [
+        ([CHUNKED + b"1\r\n\n\r\n"], ["changes"], [b"follow=1&since=7"]),
+        ([CHUNKED + b"5\r\n{bad\n\r\n", plain(200)], ["changes", "failed"], [b"since=7", b"instances HTTP"]),
+        ([plain(500), CHUNKED], ["failed", "changes"], [b"follow=1&since=7", b"follow=1&since=7"]),
+        ([b"", CHUNKED], ["failed", "changes"], [b"follow=1&since=7", b"follow=1&since=7"]),
+    ],
+    ids=["empty line", "bad line", "refused", "broken"],
+)
 def test_the_watch_is_taken_up_again_where_it_broke(answers, kinds, asks):
     rig = Rig()
     peer, sock = peer_at()
@@ -309,7 +351,7 @@
         if answer != CHUNKED:
             theirs.close()
     rig.turn(lambda: len([item for item in rig.inbox.items if item[1] in kinds]) >= len(kinds), 500_000)
-    assert [item[1] for item in rig.inbox.items][:len(kinds)] == kinds
+    assert [item[1] for item in rig.inbox.items][: len(kinds)] == kinds
 
 
 def test_idle_connections_to_an_unreachable_worker_are_not_kept():
@@ -323,10 +365,14 @@
     assert outcome(rig)[0] == "unreachable" and not peer.idle and theirs.recv(1) == b""
 
 
-
-@pytest.mark.parametrize(("lawful", "out", "left", "how"), [
-    (False, False, 1_000, protocol_workers.Withheld), (True, True, 1_000, protocol_workers.Withheld),
-    (True, False, 0, protocol_workers.TimedOut)])
+@pytest.mark.parametrize(
+    ("lawful", "out", "left", "how"),
+    [
+        (False, False, 1_000, protocol_workers.Withheld),
+        (True, True, 1_000, protocol_workers.Withheld),
+        (True, False, 0, protocol_workers.TimedOut),
+    ],
+)
 def test_the_last_byte_is_withheld_without_lease_from_who_is_out_and_after_its_time(lawful, out, left, how):
     # A process that was stopped may wake with the walltime over, and its lease not.
     rig, peer = Rig(), protocol_workers.Peer("s-1", out)
