--- a/mastledge/agreement/leading.py
+++ b/mastledge/agreement/leading.py
@@ -162,7 +162,8 @@
         self.left_until = over
         if reached > self.in_force:
             self.in_force = reached
-            self.hurry()
+            if not self.fan_out:
+                self.hurry()  # relays hear it with the next beat: nobody acts on it
 
     def enforce_each(self, now):
         """(up to which entry all is in force, when the rest is at the latest)"""
--- a/mastledge/agreement/startup.py
+++ b/mastledge/agreement/startup.py
@@ -6,7 +6,7 @@
 from mastledge.agreement import messages as m
 from mastledge.agreement.log import Log
 from mastledge.agreement.rules import Rules, genesis
-from mastledge.agreement.timing import ASKING, ASKS, EMPTY, FOLLOWER, FRESH, LEADER, PART
+from mastledge.agreement.timing import ASKED_AT_ONCE, ASKING, ASKS, EMPTY, FOLLOWER, FRESH, LEADER, PART
 
 
 class Startup:
@@ -144,9 +144,23 @@
         ask = m.Ask(
             self.fleet, not self.fleet, self.form, self.digest, self.term, self.log.last_term, self.log.last
         )
-        for name in sorted({*self.listed, *self.voters()} - {self.name}):
+        for name in self.to_be_asked():
             self.send(name, ask)
 
+    def to_be_asked(self):
+        """The voters, the first name, which forms a fleet, and some of the others in turn.
+
+        All of them at each time would be as many messages as the square of the members.
+        """
+        first = {*self.voters(), *([min(self.listed)] if self.listed else [])} - {self.name}
+        others = sorted({*self.listed} - first - {self.name})
+        if len(others) > ASKED_AT_ONCE:
+            self.asked = (self.asked + ASKED_AT_ONCE) % len(others)
+            others = [*others[self.asked :], *others[: self.asked]][:ASKED_AT_ONCE]
+        return sorted({*first, *others})
+
+    asked = 0
+
     def begin_anew(self, now):
         if self.fleet and self.phase == ASKING and self.voters() == [self.name] and self.is_voter():
             self.phase = PART  # nobody else can know better
--- a/mastledge/agreement/timing.py
+++ b/mastledge/agreement/timing.py
@@ -5,6 +5,7 @@
 NEWS = 3_000_000  # for which news of workers are passed on, after which who told them says them again
 FEW, MANY = 2, 4  # beats without a word of the leader after which a voter would have another one
 ASKS = 100_000  # between two times that a member asks the others at its start
+ASKED_AT_ONCE = 16  # of the members that do not vote, in turn
 FRESH = 10 * ASKS  # a word of another member about itself, from which a fleet may be formed
 AGAIN = 200_000  # a change whose fate is not known is handed in once more
 MENDS = 1_000_000  # between two tries of a disk that has failed
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -1,5 +1,6 @@
 """The agreement: seeded schedules of faults, builds that are wrong, and the rules of the document."""
 
+from collections import Counter
 from copy import deepcopy
 
 import pytest
@@ -313,3 +314,18 @@
     for record in kept.records():
         again.take(record)
     assert again.value() == kept.value()
+
+
+def test_a_large_fleet_forms_without_a_message_for_each_pair_of_members_at_each_time():
+    fleet = Fleet([f"n{n:02}" for n in range(60)], 5).start()
+    asked, send = Counter(), fleet.send
+
+    def counted(node, to, message):
+        asked[node.name, fleet.now] += isinstance(message, m.Ask)
+        send(node, to, message)
+
+    fleet.send = counted
+    assert fleet.run(10_000_000, lambda: fleet.leader() is not None)
+    assert all(node.member.fleet for node in fleet.nodes.values())
+    # The first name, at most seven voters, and sixteen of the others in turn.
+    assert max(asked.values()) <= 1 + 7 + 16
