--- a/mastledge/lab/scale/command.py
+++ b/mastledge/lab/scale/command.py
@@ -23,6 +23,7 @@
     "restarts_per_second": "of workers: each drains, goes and starts",
     "jobs_per_second": "to the real dispatchers together",
     "seconds": "that are measured",
+    "settle": "seconds from ready to the first measure",
     "out": f"a folder for {FIGURES} and {PLOT}",
     "lease_ms": "as peers.lease_ms",
     "fan_out": "members that hear from one relay; 0: all from the leader",
--- a/mastledge/lab/scale/options.py
+++ b/mastledge/lab/scale/options.py
@@ -49,6 +49,7 @@
     seconds: float = 10.0
     seed: int = 1
     out: str = ""
+    settle: float = 3.0
     lease_ms: int = 2000
     fan_out: int = 0
     teams: int = 43
@@ -103,6 +104,7 @@
         "restarts_per_second": (0, MOST_RATE),
         "jobs_per_second": (0, MOST_RATE),
         "seconds": (1, MOST_SECONDS),
+        "settle": (1, MOST_SECONDS),
         "seed": (0, 1 << 32),
         "lease_ms": LEASE_MS,
         "fan_out": (0, MOST_FAN_OUT),
--- a/mastledge/lab/scale/run.py
+++ b/mastledge/lab/scale/run.py
@@ -22,7 +22,6 @@
 
 MEMORY = "/dev/shm"
 READY = 60.0  # seconds in which all have to be ready
-REST = 3.0  # seconds from ready to the first measure
 LOOK = 0.02  # seconds between two looks at a process
 CALL = 3.0  # seconds that a call of an operator has
 ELECTION = 20.0  # seconds in which another leader has to be there
@@ -285,7 +284,7 @@
             tasks.append(asyncio.create_task(clients.front.look()))
         if self.options.changes_per_second:
             tasks.append(asyncio.create_task(self.change_settings()))
-        await asyncio.sleep(REST)
+        await asyncio.sleep(self.options.settle)
         before = {name: node.counts() for name, node in self.nodes.items()}
         listed = dict(self.discovery.counts)
         jobs = asyncio.create_task(clients.run(time.monotonic_ns() // 1000))
