--- a/mastledge/lab/scale/command.py
+++ b/mastledge/lab/scale/command.py
@@ -92,6 +92,7 @@
         yield f"in force everywhere, ms: {told['in_force_ms']}; answers {told['changes']}"
     if "new_leader_ms" in told:
         yield f"another leader after {told['new_leader_ms']} ms"
+    if "change_after_kill_ms" in told:
         yield f"a change agreed after {told['change_after_kill_ms']} ms"
     if told.get("faults"):
         yield f"{told['faults']} faults in the logs"
--- a/mastledge/lab/scale/discovery.py
+++ b/mastledge/lab/scale/discovery.py
@@ -47,6 +47,10 @@
         if self.server is not None:
             self.server.close()
 
+    def a_ready_one(self):
+        """The id of a worker that is ready, as it is listed now."""
+        return next(one["instanceId"] for one in self.instances.values() if one["lifecycle"] == READY)
+
     def change(self, entries):
         """One change of the list, with all these entries."""
         self.generation += 1
--- a/mastledge/lab/scale/run.py
+++ b/mastledge/lab/scale/run.py
@@ -401,8 +401,11 @@
         await self.until(another, ELECTION, "no other leader")
         self.figures["new_leader_ms"] = round((time.monotonic() - began) * 1000, 1)
 
+        worker = self.discovery.a_ready_one()
+
         async def changes():
-            status, fields, _ = await call(others[0].control, "POST", "/api/exclude/w0000", seconds=CALL)
+            path = f"/api/exclude/{worker}"
+            status, fields, _ = await call(others[0].control, "POST", path, seconds=CALL)
             self.figures["change_in_force_in_ms"] = int(fields.get(b"in-force-in-ms", b"0"))
             return status in (200, 202)
 
--- a/mastledge/program/fleet.py
+++ b/mastledge/program/fleet.py
@@ -4,37 +4,28 @@
 Imported only where the configuration names `peers`.
 """
 
-import time
 import uuid
 from copy import deepcopy
 
-import orjson
-
 from mastledge.agreement import messages
 from mastledge.agreement.kept import Kept
 from mastledge.agreement.leases import longest
 from mastledge.agreement.member import Member
-from mastledge.agreement.patches import difference
 from mastledge.agreement.restrictions import OwnList
-from mastledge.agreement.rules import LEAST_FAN_OUT, MOST_FAN_OUT, fan_out_is_good
 from mastledge.agreement.timing import LEADER
 from mastledge.peers.links import Links
 from mastledge.program.beside import Notes
+from mastledge.program.fleet_calls import LOOK, FleetCalls
 from mastledge.program.settings import flat, plain_map
-from mastledge.protocol.control import Answer, No
-from mastledge.recovery import snapshots
 from mastledge.store.folder import BadFolder, Folder
 from mastledge.store.journal import Journal
 from mastledge.store.writer import Writer
 from mastledge.transport.connection import address_of
 from mastledge.transport.loop import READ
 
-PATIENCE = 700_000  # of a caller, who waits for 1 s
-LOOK = 5_000
 OWN = ("me", "locality")  # settings that are a dispatcher's own, and stand in its file
 RETELL = 2_500_000  # between two times that the list's restrictions are told again
 CHANGES = 64  # of one process, under way
-MOST_NAMED = 5  # names in one message
 ASKED = b"\xc1R"  # begins what a dispatcher that starts asks, and the answers to it
 
 
@@ -58,7 +49,7 @@
         return self.without + (now - self.since if self.since else 0)
 
 
-class Fleet:
+class Fleet(FleetCalls):
     """`program` is told of new rules by `agreed(rules)` and of workers that others know to be out by
     `news(ids)`.
     """
@@ -416,227 +407,3 @@
 
     def version(self):
         return self.member.rules.version if self.member is not None and self.member.rules else 0
-
-    # What operators ask for
-
-    def calls(self):
-        return {
-            "/api/agreed": {b"GET": self.agreed},
-            "/api/history": {b"GET": self.history},
-            "/api/settings": {b"GET": self.settings, b"POST": self.change_settings},
-            "/api/settings/": {b"GET": self.settings_of},
-            "/api/members": {b"POST": self.change_members},
-            "/api/relays": {b"POST": self.change_relays},
-            "/api/snapshot": {b"GET": self.snapshot},
-            "/api/restore": {b"POST": self.restore},
-        }
-
-    def json(self, told, status=200, headers=()):
-        return Answer(
-            status,
-            orjson.dumps(told, option=orjson.OPT_INDENT_2 | orjson.OPT_SORT_KEYS).decode(),
-            [*headers],
-            "application/json",
-        )
-
-    def speaking(self):
-        if self.member is None:
-            raise No(503, "here only: the process beside this one speaks for this dispatcher")
-        return self.member
-
-    def agreed(self, request):
-        member, now = self.speaking(), self.loop.now()
-        state = member.rules.state if member.rules else None
-        left = max(0, member.lease_until - now) if member.may_act(now) else 0
-        return self.json(
-            {
-                "name": self.name,
-                "fleet": member.fleet,
-                "life": member.life,
-                "version": self.version(),
-                "settings_version": state["settings_version"] if state else 0,
-                "in_force": bool(state) and member.in_force >= member.commit,
-                "term": member.term,
-                "leader": member.leader or "",
-                "leads": member.role == LEADER,
-                "fan_out": member.fan_out,
-                "relay": member.parent or "" if member.fan_out and not member.is_voter() else "",
-                "heard_by": sorted(member.children),
-                "lease_left_ms": left // 1000,
-                "lease_ms": member.lease // 1000,
-                "members": state["members"] if state else {},
-                "out": state["out"] if state else [],
-                "out_here": sorted(self.program.handover.told["out"]),
-                "heard_out": sorted(self.program.heard_out),
-                "why": self.unreadable or ("" if left else member.why()),
-                "served_without_lease_ms": self.rule.unbound(now) // 1000,
-                "disk": "failing" if member.broken else "good",
-                "longest_write_us": self.writer.longest,
-                "longest_step_us": self.longest,
-                "frames_sent": self.links.sent,
-                "frames_got": self.links.got,
-                "bytes_sent": self.links.bytes_sent,
-                "bytes_got": self.links.bytes_got,
-            }
-        )
-
-    def state(self):
-        if self.speaking().rules is None:
-            raise No(503, f"nothing is agreed here yet: {self.member.why()}")
-        return self.member.rules.state
-
-    def history(self, request):
-        return self.json({"history": self.state()["history"]})
-
-    def settings(self, request):
-        state = self.state()
-        return self.json(state["settings"], headers=[(b"etag", b'"%d"' % state["settings_version"])])
-
-    def settings_of(self, version, request):
-        document = self.state()["documents"].get(version)
-        if document is None:
-            raise No(404, f"no settings of version {version} are kept")
-        return self.json(document, headers=[(b"etag", b'"%s"' % version.encode())])
-
-    def change_settings(self, request):
-        expects = request.headers.get(b"if-match", b"").decode("latin-1").strip('W/" ')
-        if not expects.isdecimal():
-            raise No(428, "If-Match has to name the version that is to be changed")
-        state = self.state()
-        if int(expects) != state["settings_version"]:
-            raise No(412, f"settings are of version {state['settings_version']}, not {expects}")
-        try:
-            document = orjson.loads(request.body)
-            if not isinstance(document, dict):
-                raise ValueError("settings are one JSON object")
-            document = self.shared(document)
-            self.whole(document, state)
-        except (ValueError, TypeError, AttributeError) as error:
-            raise No(400, str(error)) from None
-        result = yield from self.changed(self.settings_change(state, document, int(expects)))
-        return result
-
-    def settings_change(self, state, document, expects):
-        """The whole document, or only what differs where all members know that form."""
-        changes = difference(state["settings"], document) if state.get("fan_out") else None
-        if changes:
-            return {"kind": "patch", "changes": changes, "expects": expects}
-        return {"kind": "settings", "settings": document, "expects": expects}
-
-    def change_relays(self, request):
-        """How many dispatchers hear from one; 0: all from the leader."""
-        member = self.speaking()
-        try:
-            fan_out = orjson.loads(request.body)["fan_out"]
-            if fan_out != 0 and not fan_out_is_good(fan_out):
-                raise ValueError(f"the fan-out is neither 0 nor from {LEAST_FAN_OUT} to {MOST_FAN_OUT}")
-        except (ValueError, KeyError, TypeError) as error:
-            raise No(400, f"{type(error).__name__}: {error}") from None
-        if member.role != LEADER:
-            raise No(409, f"ask the leader: {member.leader or 'nobody leads'}")
-        if older := member.without_relays():
-            raise No(409, f"not heard, or of a version without relays: {', '.join(older[:MOST_NAMED])}")
-        return (yield from self.changed({"kind": "relays", "fan_out": fan_out}))
-
-    def change_members(self, request):
-        try:
-            change = orjson.loads(request.body)
-            kind, name = change["kind"], change["name"]
-            if kind not in ("add", "remove") or not isinstance(name, str) or not name:
-                raise ValueError(f"no change of members: {kind!r}")
-            if kind == "add":
-                address_of(change["address"])
-        except (ValueError, KeyError, TypeError) as error:
-            raise No(400, f"{type(error).__name__}: {error}") from None
-        # Refused at once where it is plain; what crosses another change is refused when it is agreed.
-        members = self.state()["members"]
-        if (kind == "add") == (name in members):
-            raise No(409, f"{name} is {'a member already' if kind == 'add' else 'no member'}")
-        return (
-            yield from self.changed(
-                {key: change[key] for key in ("kind", "name", "address") if key in change}
-            )
-        )
-
-    def snapshot(self, request):
-        """What is agreed, as it is here; asked of one with a lease it is all that is in force."""
-        state = self.state()
-        return self.json(snapshots.packed(state, self.member.fleet, self.name, time.time_ns() // 1000))
-
-    def restore(self, request):
-        """Begins a fleet with a snapshot, or with what is kept here; or leaves one that is no more."""
-        member, now = self.speaking(), self.loop.now()
-        known = member.rules.state if member.rules else None
-        why = {b"accept-loss": "formed, loss accepted", b"desert": ""}.get(bytes(request.body))
-        try:
-            told = snapshots.unpacked(request.body) if why is None else None
-        except snapshots.BadSnapshot as error:
-            raise No(400, str(error)) from None
-        state = told["state"] if told else known
-        lease, heard = member.may_act(now) and not self.unreadable, member.there(now)
-        if why == "":
-            if lease:
-                raise No(409, "this fleet runs: its majority answers")
-            if known is None:
-                raise No(409, "nothing is kept here that could be left")
-            self.input("desert", uuid.uuid4().hex[:16])
-            return f"{self.name} has left its fleet, and comes to the next one as new"
-        no = snapshots.refused(self.name, state, member.fleet, known, lease, heard, told)
-        if no:
-            raise No(409, no)
-        try:
-            self.whole(state["settings"], state)
-        except ValueError as error:
-            raise No(400, f"its settings can't be read: {error}") from None
-        life, holder = uuid.uuid4().hex[:16], ""
-        if self.copies is not None and self.copies.node is not None:
-            holder = self.copies.id
-        what = why or f"restored from version {state['version']}"
-        after = snapshots.succeeding(state, self.name, life, holder, what, self.name, time.time_ns() // 1000)
-        self.log("fleet_restored", version=after["version"], before=member.fleet, what=what)
-        self.applied = -1
-        self.input("restore", uuid.uuid4().hex[:16], life, after)
-        return f"version {after['version']}: {what}; the others come with empty folders, or by fleet desert"
-
-    def exclude(self, worker):
-        return (yield from self.changed({"kind": "out", "worker": worker}))
-
-    def include(self, worker):
-        cold_for = self.program.told["settings"]["cold_for"]
-        return (
-            yield from self.changed(
-                {"kind": "back", "worker": worker, "at": time.time_ns() // 1000, "cold_for": cold_for}
-            )
-        )
-
-    def changed(self, change):
-        """Hands a change in and waits until it is in force, or for as long as a caller does."""
-        self.speaking()
-        self.count += 1
-        id = f"{self.name}.{self.member.life}.{self.seed & 0xffff}.{time.time_ns()}.{self.count}"
-        change = {**change, "by": self.name, "at": change.get("at") or time.time_ns() // 1000}
-        last = self.loop.now() + PATIENCE
-        self.input("propose", id, change)
-        try:
-            while id not in self.answers:
-                self.speaking()
-                if self.loop.now() >= last:
-                    raise No(503, f"here only: {self.member.why() or 'no leader has answered'}")
-                yield (-1, 0, self.loop.now() + LOOK)
-            index, result = self.answers[id]
-            if result.get("status", 200) != 200:
-                raise No(result["status"], result["why"])
-            while self.speaking().in_force < index and self.loop.now() < last:
-                yield (-1, 0, self.loop.now() + LOOK)
-        finally:
-            self.answers.pop(id, None)
-            if self.member is not None:
-                self.input("forget", id)
-        text = f"version {result['version']}" + (f": {result['why']}" if "why" in result else "")
-        etag = [(b"etag", b'"%d"' % result["version"])]
-        if self.member.in_force >= index:
-            return Answer(200, text + " is in force", etag)
-        left = max(1, (self.member.left_until - self.loop.now()) // 1000)
-        return Answer(
-            202, f"{text} is in force in {left} ms at the latest", [*etag, (b"in-force-in-ms", b"%d" % left)]
-        )
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -1,5 +1,7 @@
 """Relays: schedules of faults, wrong builds that the judge catches, and what is decided where."""
 
+from types import SimpleNamespace
+
 import pytest
 
 from mastledge.agreement import messages as m
@@ -10,6 +12,9 @@
 from mastledge.lab import relaying
 from mastledge.lab.schedule import LEASE, Broken, Fleet
 from mastledge.lab.sized import Sized, begun, rests
+from mastledge.program.command import main
+from mastledge.program.fleet_calls import FleetCalls
+from mastledge.protocol.control import No
 
 SEEDS = 60
 TRIED = 100  # schedules in which a wrong build has to be caught
@@ -369,3 +374,49 @@
     assert not known.told(m.News("r", 9, [("w1", "gone")], 5)) and known.generation == 3
     assert known.told(m.News("r", 9, [("w1", "gone")]))
     assert known.since(2, "r") == m.News("r", 9, [("w1", "gone")])
+
+
+class Asked(FleetCalls):
+    """The calls of a dispatcher whose member says what the test wants."""
+
+    def __init__(self, role, older=()):
+        self.member = SimpleNamespace(role=role, leader="n1", without_relays=lambda: list(older))
+
+    def changed(self, change):
+        return change
+        yield
+
+
+def answer(made, body):
+    try:
+        next(made.change_relays(SimpleNamespace(body=body)))
+    except StopIteration as done:
+        return done.value
+
+
+def test_an_operator_has_the_fleet_agree_on_relays():
+    assert answer(Asked("leader"), b'{"fan_out":4}') == {"kind": "relays", "fan_out": 4}
+    assert answer(Asked("leader"), b'{"fan_out":0}') == {"kind": "relays", "fan_out": 0}
+
+
+@pytest.mark.parametrize(
+    ("made", "body", "status", "says"),
+    [
+        (Asked("leader"), b'{"fan_out":1}', 400, "neither 0 nor from 2 to 64"),
+        (Asked("leader"), b'{"fan_out":true}', 400, "neither 0 nor from 2 to 64"),
+        (Asked("leader"), b'{"fan_out":65}', 400, "neither 0 nor from 2 to 64"),
+        (Asked("leader"), b"{}", 400, "fan_out"),
+        (Asked("leader"), b"[", 400, "JSON"),
+        (Asked("follower"), b'{"fan_out":4}', 409, "ask the leader: n1"),
+        (Asked("leader", ["n3"]), b'{"fan_out":4}', 409, "of a version without relays: n3"),
+    ],
+)
+def test_relays_that_cannot_be_are_refused_in_one_line(made, body, status, says):
+    with pytest.raises(No) as refused:
+        answer(made, body)
+    assert refused.value.status == status and says in refused.value.why and "\n" not in refused.value.why
+
+
+def test_the_command_names_a_fan_out_that_is_none(monkeypatch, capsys):
+    monkeypatch.setattr("sys.argv", ["mastledge", "fleet", "relays", "many", "--control", "127.0.0.1:1"])
+    assert main() == 2 and capsys.readouterr().err == "mastledge: no fan-out: many\n"
