--- a/mastledge/agreement/relays.py
+++ b/mastledge/agreement/relays.py
@@ -27,7 +27,7 @@
 SILENT_BEATS = 2 * MANY  # after which a child that says nothing is dropped
 PATIENCE = 5, 2  # beats without news of the leader after which a first-level follower looks for another relay
 PATIENCE_A_LEVEL = 1  # beats more for each level further down, as what is above may find another one first
-RETURN = 20_000_000  # between two tries to hear from one's first relay again
+RETURN = 20_000_000  # half of it after a move, or a little later, one's first relay is tried again
 ADOPTED_LEASES = 2  # leases for which a leader speaks directly to a follower that has asked
 
 
@@ -280,11 +280,11 @@
             if now >= until or name not in members:
                 del self.adopted[name]
         direct.update(self.adopted)
-        direct.update(self.recruits(len(direct)))
+        direct.update(self.recruits())
         gone = {one["name"] for one in self.gone()}
         return direct | {name for name in gone if name in self.leases.holders}
 
-    def recruits(self, count):
+    def recruits(self):
         """Followers that may be made voters: a leader has to know what their disks hold."""
         missing = wanted_voters(len(self.members())) - len(self.voters())
         if missing <= 0:
--- a/mastledge/lab/sized.py
+++ b/mastledge/lab/sized.py
@@ -11,7 +11,7 @@
     def promote(self, now):
         """Nobody becomes a voter."""
 
-    def recruits(self, count):
+    def recruits(self):
         """Nobody is to become one."""
         return []
 
