--- a/mastledge/lab/sized.py
+++ b/mastledge/lab/sized.py
@@ -1,6 +1,9 @@
 """Fleets of a given size in simulated time: so many voters and followers, formed and at rest."""
 
+from collections import Counter
+
 from mastledge.agreement.member import Member
+from mastledge.agreement.messages import encode
 from mastledge.agreement.rules import genesis
 from mastledge.lab.schedule import LEASE, Fleet
 
@@ -52,3 +55,82 @@
     """All is in force."""
     leader = fleet.leader()
     return leader is not None and leader.member.in_force == leader.member.log.last > 1
+
+
+FRAME_HEAD = 4  # bytes of a frame before its content
+AT_REST = 25_000_000  # microseconds from the first rest to the measure, as followers look for their relays
+MEASURED = 6_000_000
+CHANGES, KILLS = 5, 3
+
+
+class Traffic:
+    """Bytes that each member sends and gets, with the heads of frames."""
+
+    def __init__(self, fleet):
+        self.fleet, self.sent, self.received, self.send = fleet, Counter(), Counter(), fleet.send
+
+    def __enter__(self):
+        self.fleet.send = self.counted
+        return self
+
+    def __exit__(self, *error):
+        self.fleet.send = self.send
+
+    def counted(self, node, to, message):
+        size = FRAME_HEAD + len(encode(message))
+        self.sent[node.name] += size
+        self.received[to] += size
+        self.send(node, to, message)
+
+
+def measured(voters, dispatchers, fan_out, seed):
+    """Simulated: bytes a second by role, milliseconds to in force, to another leader and to in force then."""
+    fleet = grown(voters, dispatchers - voters, seed, fan_out)
+    fleet.run(fleet.now + AT_REST)
+    leader, seconds = fleet.leader().name, MEASURED / 1e6
+    with Traffic(fleet) as traffic:
+        fleet.run(fleet.now + MEASURED)
+    others = [traffic.sent[name] + traffic.received[name] for name in fleet.nodes if name != leader]
+    in_force = [in_force_after(fleet, n) for n in range(CHANGES)]
+    kills = [leader_killed(fleet) for _ in range(KILLS)]
+    return {
+        "dispatchers": dispatchers,
+        "fan_out": fan_out,
+        "leader_sent": round(traffic.sent[leader] / seconds),
+        "leader_received": round(traffic.received[leader] / seconds),
+        "other_most": round(max(others) / seconds),
+        "in_force_ms": in_force,
+        "new_leader_ms": [elected for elected, _ in kills],
+        "in_force_after_kill_ms": [after for _, after in kills],
+    }
+
+
+def in_force_after(fleet, n):
+    """Milliseconds from one change at the leader to in force."""
+    leader, began = fleet.leader(), fleet.now
+    last = leader.member.log.last
+    change = {"kind": ("out", "back")[n % 2], "worker": "w", "at": 1, "cold_for": 1}
+    fleet.propose(leader.name, f"c{n}", change)
+    fleet.run(began + 20_000_000, lambda: leader.member.in_force > last)
+    took = (fleet.now - began) // 1000
+    fleet.run(fleet.now + 777_000)
+    return took
+
+
+def leader_killed(fleet):
+    """Milliseconds until another one leads, and until all is in force."""
+    leader, began = fleet.leader(), fleet.now
+    leader.crash()
+    fleet.run(began + 20_000_000, lambda: leads(fleet))
+    elected = (fleet.now - began) // 1000
+    fleet.run(began + 30_000_000, lambda: rests(fleet))
+    after = (fleet.now - began) // 1000
+    leader.start()
+    fleet.run(fleet.now + 8_000_000)
+    return elected, after
+
+
+def leads(fleet):
+    """Somebody leads and has had an entry agreed."""
+    leader = fleet.leader()
+    return leader is not None and leader.member.commit >= leader.member.began
