--- a/mastledge/lab/scale/options.py
+++ b/mastledge/lab/scale/options.py
@@ -83,7 +83,8 @@
         return real + hollow + hosts + self.workers * HOLLOW_WORKER
 
     def as_dict(self) -> dict:
-        return asdict(self)
+        """All figures, without the folder of this machine."""
+        return {name: value for name, value in asdict(self).items() if name != "out"}
 
 
 def machine_memory() -> int:
--- a/mastledge/lab/scale/processes.py
+++ b/mastledge/lab/scale/processes.py
@@ -10,6 +10,7 @@
 
 from mastledge.lab.scale import meter
 
+ANSWERS = 60.0  # seconds in which a host says that it is there, and answers a line
 ENDS = 6.0  # seconds from SIGTERM to SIGKILL
 
 
@@ -19,6 +20,10 @@
     return path
 
 
+class HostSilent(Exception):
+    """A host of hollow ones ended, or has said nothing in its time."""
+
+
 class Host:
     """A process that hosts many hollow ones: it gets JSON lines and answers with such."""
 
@@ -35,14 +40,25 @@
             start_new_session=True,
             limit=1 << 22,
         )
-        return json.loads(await self.process.stdout.readline())
+        return await self.heard()
+
+    async def heard(self):
+        """The next line that it says; HostSilent where none comes."""
+        try:
+            async with asyncio.timeout(ANSWERS):
+                line = await self.process.stdout.readline()
+        except TimeoutError:
+            raise HostSilent(f"a host of hollow ones has said nothing in {ANSWERS:g} s") from None
+        if not line:
+            raise HostSilent("a host of hollow ones has ended")
+        return json.loads(line)
 
     async def ask(self, *words):
         """What it answers to one line."""
         async with self.lock:
             self.say(json.dumps(words))
             await self.process.stdin.drain()
-            return json.loads(await self.process.stdout.readline())
+            return await self.heard()
 
     def say(self, line):
         self.process.stdin.write(line.encode() + b"\n")
--- a/mastledge/lab/scale/run.py
+++ b/mastledge/lab/scale/run.py
@@ -15,7 +15,7 @@
 from mastledge.lab.scale import meter, topology
 from mastledge.lab.scale.discovery import Events, ScaleDiscovery
 from mastledge.lab.scale.options import HOLLOW_A_PROCESS, WORKERS_A_PROCESS
-from mastledge.lab.scale.processes import Host, Real, end_all, write_json
+from mastledge.lab.scale.processes import Host, HostSilent, Real, end_all, write_json
 from mastledge.lab.scenario import Clients as Load
 from mastledge.lab.scenario import QueueType
 from mastledge.lab.wire import call
@@ -76,7 +76,7 @@
             await self.measure()
             if self.options.kill_leader:
                 await self.replace_leader()
-        except Failed as error:
+        except (Failed, HostSilent) as error:
             why = str(error)
         except (asyncio.CancelledError, KeyboardInterrupt):
             why = "cut off"
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,5 +1,6 @@
 """Scale runs: figures are checked first, a small run is whole, one that is cut off says so and ends all."""
 
+import asyncio
 import json
 import os
 import signal
@@ -9,7 +10,7 @@
 
 import pytest
 
-from mastledge.lab.scale import meter, slopes, topology
+from mastledge.lab.scale import meter, processes, slopes, topology
 from mastledge.lab.scale.options import BadOptions, ScaleOptions, check
 
 CALL = [sys.executable, "-B", "-m", "mastledge", "lab", "scale"]
@@ -199,3 +200,19 @@
     one = fit["leader"]["control_percent"]
     assert one["slope"] == pytest.approx(0.1) and one["spread"] == pytest.approx(0, abs=1e-9)
     assert slopes.predicted(fit, 230)["leader"]["control_percent"][0] == pytest.approx(23.5)
+
+
+@pytest.mark.parametrize(("words", "says"), [(["sleep", "60"], "has said nothing"), (["true"], "has ended")])
+def test_a_host_that_says_nothing_is_not_waited_for_without_end(words, says, monkeypatch):
+    monkeypatch.setattr(processes, "ANSWERS", 0.5)
+
+    async def begin():
+        host = processes.Host("hollow", "none")
+        host.command = words
+        with pytest.raises(processes.HostSilent, match=says):
+            await host.begin()
+        if host.process.returncode is None:
+            host.process.kill()
+        await host.process.wait()
+
+    asyncio.run(begin())
