Hand-off of jobs works in folders whose path is over 107 bytes

Callers: at an upgrade a job with more than 3.0 s left at SIGTERM was answered 503, or 500 where it runs once, though its worker completed it, where the path of $TMPDIR with the dispatcher's address has over 107 bytes. The new process logged handoff_disabled and served on. Shorter jobs end in the old process, so six jobs of 4.2 s seen from outside came through.

Cause: the address of a Unix socket has at most 107 bytes; bind and connect of the hand-off raised OSError.

Evidence: test_without_peers_no_fleet_module_socket_or_file_is_used fails with a base folder of 60 characters and passes with a short one, idle machine, code untouched.

Change: a longer path is addressed through a descriptor of its folder, for bind and connect.

--- a/mastledge/program/connection_handoff.py
+++ b/mastledge/program/connection_handoff.py
@@ -130,7 +130,7 @@
         try:
             self._receiver = descriptor_passing.open_receiver(path)
         except OSError as error:
-            # For example a path too long for a socket; jobs that outlast the old process are then killed.
+            # For example a folder that is not writable; jobs that outlast the old process then end with it.
             self.log("handoff_disabled", why=str(error))
             return
         while True:
--- a/mastledge/transport/descriptor_passing.py
+++ b/mastledge/transport/descriptor_passing.py
@@ -1,11 +1,34 @@
-"""Passes connected sockets, with a short message, to another process on this machine."""
+"""Passes connected sockets, with a short message, to another process on this machine.
+
+The address of a Unix socket is at most 107 bytes long (unix(7)), less than many paths. A longer path is
+addressed through a descriptor of its folder, so the length of the folder's path does not matter.
+"""
 
 import contextlib
 import os
 import socket
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 
 MAX_MESSAGE_BYTES = 4096
+MAX_ADDRESS_BYTES = 107  # sun_path of unix(7), without the terminating zero
+
+
+@contextlib.contextmanager
+def unix_address(path: str) -> Iterator[str]:
+    """Return an address for the Unix socket at `path` that is valid within the context.
+
+    Raise OSError if the folder of a long path cannot be opened. An address is still too long if the name of
+    the socket itself is, without its folder.
+    """
+    if len(os.fsencode(path)) <= MAX_ADDRESS_BYTES:
+        yield path
+        return
+    folder, name = os.path.split(path)
+    descriptor = os.open(folder, os.O_PATH | os.O_DIRECTORY | os.O_CLOEXEC)
+    try:
+        yield f"/proc/self/fd/{descriptor}/{name}"
+    finally:
+        os.close(descriptor)
 
 
 def open_receiver(path: str) -> socket.socket:
@@ -15,7 +38,8 @@
         sock.setblocking(False)
         with contextlib.suppress(FileNotFoundError):
             os.unlink(path)
-        sock.bind(path)
+        with unix_address(path) as address:
+            sock.bind(address)
         os.chmod(path, 0o600)
     except OSError:
         sock.close()
@@ -27,7 +51,8 @@
     """Send a message with sockets; raise OSError if there is no receiver or its queue is full."""
     with socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM) as sock:
         sock.setblocking(False)
-        sock.connect(path)
+        with unix_address(path) as address:
+            sock.connect(address)
         socket.send_fds(sock, [message], [sock_to_pass.fileno() for sock_to_pass in sockets])
 
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -226,7 +226,6 @@
 @pytest.fixture
 def folder(monkeypatch):
     monkeypatch.setattr(serving, "FIRST_LIST_TIMEOUT_US", 0)
-    # A socket path has at most 107 bytes, and a path below tmp_path may be longer.
     with tempfile.TemporaryDirectory(prefix="shared-") as path:
         yield pathlib.Path(path)
 
