The load of a scenario goes on until its goal can be judged

Cause: the goal counts from the moment at which the last faulty dispatcher is ready. The wipe comes at 6.0 s and the load ended at 13.0 s: with a start of over 2.7 s no first attempt was left in the time that the goal is about.

Change: with back_s, jobs are sent at the last rate until 2 s of first attempts lie behind that time. The drawn load stays as it was. A record without any such attempt says that it cannot be judged, and is broken as before.

Measured: the new test failed before (last first attempt 1.3 s before the window), passes now.

--- a/mastledge/lab/invariants/record_queries.py
+++ b/mastledge/lab/invariants/record_queries.py
@@ -44,6 +44,11 @@
     return max((spell["to"] for spell in record["spells"]), default=0)
 
 
+def goal_window_start(record: Record, back_s: float) -> float:
+    """Return the time from which first tries count for the goal `back_s` (seconds after the last fault)."""
+    return calm_since(record) + back_s * 1e6
+
+
 def out_at_once(record: Record) -> dict[str, tuple[int, int]]:
     """{worker: (most launches there at once, when)}, by what it has taken and what has ended there."""
     out, most = defaultdict(int), {}
--- a/mastledge/lab/invariants/recovery.py
+++ b/mastledge/lab/invariants/recovery.py
@@ -2,18 +2,31 @@
 
 from collections.abc import Iterator
 
-from mastledge.lab.invariants.record_queries import SLACK, Record, calm_since, first_tries, out_at_once
+from mastledge.lab.invariants.record_queries import (
+    SLACK,
+    Record,
+    calm_since,
+    first_tries,
+    goal_window_start,
+    out_at_once,
+)
 
 
 def the_service_comes_back(record: Record) -> Iterator[str]:
-    """Where a scenario has the goal: so long after the last fault first tries are served as before."""
+    """Where a scenario has the goal: so long after the last fault first tries are served as before.
+
+    A record without first tries in that time cannot be judged, which is a breach as well.
+    """
     goals = record.get("goals") or {}
     if not goals.get("back_s"):
         return
-    since = calm_since(record) + goals["back_s"] * 1e6
-    late = [(at, end) for at, end in first_tries(record) if at >= since]
+    since = goal_window_start(record, goals["back_s"])
+    first = first_tries(record)
+    late = [(at, end) for at, end in first if at >= since]
     if not late:
-        yield f"nobody came later than {goals['back_s']:g} s after the last fault"
+        yield f"cannot be judged: nobody came later than {goals['back_s']:g} s after the last fault" + (
+            f", the last first try {(since - first[-1][0]) / 1e6:.1f} s before that" if first else ""
+        )
         return
     served = sum(end <= at + goals["within_s"] * 1e6 for at, end in late) / len(late)
     if served < goals["share"]:
--- a/mastledge/lab/load.py
+++ b/mastledge/lab/load.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -114,6 +115,8 @@
         self.harness, self.options, self.front = harness, options, Front(harness)
         self.random = numpy.random.Generator(numpy.random.PCG64([seed, 2]))
         self.over = False  # nothing more comes, whatever was drawn
+        self.seconds = seconds
+        self.extension_random = numpy.random.Generator(numpy.random.PCG64([seed, 5]))
         shares = numpy.array([one.share for one in options.queue_types])
         self.shares = shares / shares.sum()
         if options.shape:
@@ -129,31 +132,53 @@
             self.random.random(count) < options.again_after, 0.05 + 3 * self.random.random(count), 0.0
         )
 
-    async def run(self, began: int) -> None:
-        """Send all jobs at their times after microsecond `began`, and wait for their ends."""
+    async def run(self, began: int, needs_more: Callable[[], bool] = lambda: False) -> None:
+        """Send all jobs at their times after microsecond `began`, and wait for their ends.
+
+        After the drawn jobs, more are sent at the last rate while `needs_more` returns true.
+        """
         jobs = []
         for n, (at, kind) in enumerate(zip(self.times, self.kinds, strict=True)):
             if self.over:
                 break
-            wait = began / 1e6 + at - time.monotonic()
-            if wait > 0:
-                await asyncio.sleep(wait)
-            elif wait < -LATE_S:
-                self.harness.late = max(self.harness.late, -wait)
-            jobs.append(asyncio.create_task(self.job(n, self.options.queue_types[kind])))
+            await self.wait_for_turn(began / 1e6 + at)
+            key = f"k{n}" if self.keyed[n] else ""
+            jobs.append(asyncio.create_task(self.job(n, self.options.queue_types[kind], key, self.again[n])))
+        jobs += await self.extend(began, needs_more)
         if jobs:
             await asyncio.wait(jobs)
 
-    async def job(self, n: int, queue_type: QueueType) -> None:
+    async def extend(self, began: int, needs_more: Callable[[], bool]) -> list[asyncio.Task]:
+        """Send jobs at the last rate after the end of the drawn load while they are needed; return them."""
+        factor = self.options.shape[-1][1] if self.options.shape else 1.0
+        rate, random = self.options.per_second * factor, self.extension_random
+        jobs, at = [], began / 1e6 + self.seconds
+        while rate and not self.over and needs_more():
+            at += random.exponential(1 / rate)
+            await self.wait_for_turn(at)
+            n = len(self.times) + len(jobs)
+            queue_type = self.options.queue_types[random.choice(len(self.shares), p=self.shares)]
+            key = f"k{n}" if random.random() < self.options.keyed else ""
+            jobs.append(asyncio.create_task(self.job(n, queue_type, key, 0.0)))
+        return jobs
+
+    async def wait_for_turn(self, at: float) -> None:
+        """Wait until second `at` of the monotonic clock, and record how late it already is."""
+        wait = at - time.monotonic()
+        if wait > 0:
+            await asyncio.sleep(wait)
+        elif wait < -LATE_S:
+            self.harness.late = max(self.harness.late, -wait)
+
+    async def job(self, n: int, queue_type: QueueType, key: str, again_s: float) -> None:
         """Send one job with its tries; each has a new id, all of them one key."""
-        key = f"k{n}" if self.keyed[n] else ""
         for number in range(1 + self.options.retries):
             retry_s = await self.attempt(Attempt(f"j{n}.{number}", key, queue_type, number))
             if retry_s is None:
                 break
             await asyncio.sleep(retry_s)
-        if self.again[n]:
-            await asyncio.sleep(self.again[n])
+        if again_s:
+            await asyncio.sleep(again_s)
             await self.attempt(Attempt(f"j{n}.again", key, queue_type, 1))
 
     async def attempt(self, attempt: Attempt) -> float | None:
--- a/mastledge/lab/process_harness.py
+++ b/mastledge/lab/process_harness.py
@@ -24,6 +24,7 @@
 from mastledge.lab.harness.observers import measure_lag, show_progress
 from mastledge.lab.harness.run_record import take_record
 from mastledge.lab.harness.settling import settle
+from mastledge.lab.invariants.record_queries import goal_window_start
 from mastledge.lab.link_proxy import LinkProxy
 from mastledge.lab.load import Clients
 from mastledge.lab.scenario import PROCESSES, Scenario, ScenarioError
@@ -34,6 +35,7 @@
 FRONT_LEAD_S = 0.25  # for the front to find who is ready, before the first job
 CLIENTS_END_S = 30  # for the last clients to have their answers
 END_TIMEOUT_S = 6  # for processes to end by themselves, before they are killed
+GOAL_WINDOW_US = 2_000_000  # in which first attempts are observed for the goal `back_s`
 
 
 class ProcessHarness:
@@ -252,7 +254,7 @@
         await asyncio.sleep(FRONT_LEAD_S)
         self.began = now()
         steps = [asyncio.create_task(run_step(self, step)) for step in scenario.steps]
-        load = asyncio.create_task(clients.run(self.began))
+        load = asyncio.create_task(clients.run(self.began, self.goal_needs_load))
         try:
             for step in steps:
                 await step
@@ -269,6 +271,15 @@
                 task.cancel()
             await asyncio.gather(*observers, *steps, load, return_exceptions=True)
 
+    def goal_needs_load(self) -> bool:
+        """Return whether first attempts are still needed to check the goal `back_s`.
+
+        A fault can end late, as it lasts until its dispatcher is ready again.
+        """
+        if not self.scenario.goals.back_s:
+            return False
+        return now() < goal_window_start({"spells": self.spells}, self.scenario.goals.back_s) + GOAL_WINDOW_US
+
     async def end(self) -> None:
         """End all processes, by force after `END_TIMEOUT_S`, and close all sockets."""
         running = [node for node in self.nodes.values() if node.process is not None]
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -197,6 +197,38 @@
         scenario.read(str(tmp_path / "s.toml"))
 
 
+LATE_RETURN = """
+name = "the last fault ends after the load"
+seconds = 2
+dispatchers = 1
+agree = false
+[goals]
+back_s = 0.5
+[clients]
+per_second = 40
+retries = 14
+again_when_lost = true
+[[steps]]
+at = 1.5
+fault = "kill"
+who = "n0"
+seconds = 0.6
+"""
+
+
+def test_load_goes_on_until_the_goal_of_a_scenario_can_be_judged(tmp_path):
+    # Guards against a slow restart that leaves no first attempt in the time that the goal is about.
+    told = played(LATE_RETURN, tmp_path)
+    assert told["complete"], told["why"]
+    assert told["spells"][0]["to"] > told["spells"][0]["from"] + 600_000
+    window_start = told["spells"][0]["to"] + 500_000
+    first_tries = [
+        event["at"] for event in told["events"] if event["kind"] == "sent" and not event["attempt"]
+    ]
+    assert max(first_tries) >= window_start + 1_000_000
+    assert judged(told)["the_service_comes_back"] == []
+
+
 def test_goals_of_a_scenario_know_good_from_bad():
     goals = {"back_s": 1.0, "share": 0.95, "within_s": 2.0, "most_out": 2.0}
     spell = {"who": "", "fault": "all", "from": 0, "to": 500_000}
