The laboratory starts dispatchers from byte code, as a deployment does

Cause: processes start with -B and PYTHONDONTWRITEBYTECODE, and the tree has no byte code, so each start compiles the whole program: 0.63 s of CPU for the imports, 0.26 s with byte code. The deploy file compiles at its build.

Change: the harness compiles the package before the first process (0.9 s once, 0.02 s from then on).

--- a/mastledge/lab/process_harness.py
+++ b/mastledge/lab/process_harness.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import compileall
 import json
 import os
 import signal
@@ -18,6 +19,7 @@
 
 import numpy
 
+import mastledge
 from mastledge.lab.harness.dispatcher import LOOK, READY_TIMEOUT_S, Dispatcher, RunFailedError
 from mastledge.lab.harness.dispatcher_configuration import command_line, write_configuration
 from mastledge.lab.harness.fault_steps import run_step
@@ -38,6 +40,11 @@
 GOAL_WINDOW_US = 2_000_000  # in which first attempts are observed for the goal `back_s`
 
 
+def compile_package() -> None:
+    """Compile the program as the deploy file does, so that a process starts as fast as in service."""
+    compileall.compile_dir(os.path.dirname(mastledge.__file__), quiet=2)
+
+
 class ProcessHarness:
     """Plays one scenario once, with one seed, on processes.
 
@@ -109,6 +116,7 @@
 
     async def build(self) -> None:
         """Start workers, discovery and link proxies, and write each dispatcher's configuration."""
+        compile_package()
         scenario = self.scenario
         for n in range(scenario.workers.count):
             self.workers[f"w{n}"] = await Worker(self, f"w{n}", scenario.workers, self.random).begin()
