A process removes the socket for handed-off jobs before it ends

Seen: after each end of a process its socket file stays in $TMPDIR, for each address that a dispatcher ever had. Callers are not harmed.

Cause: the socket was bound at the start and never removed.

--- a/mastledge/program/connection_handoff.py
+++ b/mastledge/program/connection_handoff.py
@@ -90,7 +90,7 @@
         self.loop, self.budget, self.listener, self.log = loop, budget, listener, log
         self.workers = WorkerConnections(loop, budget, DiscardingInbox(), settings, log)
         self.exchanges = set()  # exchanges of taken-over jobs that have not ended
-        self._receiver = None
+        self._receiver = self._receiver_path = None
 
     # In the process that exits
 
@@ -128,7 +128,7 @@
     def listen(self, path: str):
         """Coroutine: take over the jobs that are sent to `path`."""
         try:
-            self._receiver = descriptor_passing.open_receiver(path)
+            self._receiver, self._receiver_path = descriptor_passing.open_receiver(path), path
         except OSError as error:
             # For example a folder that is not writable; jobs that outlast the old process then end with it.
             self.log("handoff_disabled", why=str(error))
@@ -141,6 +141,13 @@
                     break
                 self.take_over(*received)
 
+    def stop_listening(self) -> None:
+        """Remove the socket that receives jobs, as this process exits."""
+        if self._receiver is not None:
+            self.loop.forget(self._receiver.fileno())
+            descriptor_passing.close_receiver(self._receiver, self._receiver_path)
+            self._receiver = None
+
     def take_over(self, raw: bytes, sockets) -> None:
         """Continue the job in a datagram; close its sockets if that is not possible."""
         try:
--- a/mastledge/program/graceful_shutdown.py
+++ b/mastledge/program/graceful_shutdown.py
@@ -96,6 +96,7 @@
 
     def _end(self):
         dispatcher = self._dispatcher
+        dispatcher.handoff.stop_listening()
         dispatcher.enter(Phase.ENDED)
         dispatcher.log("totals", faults=dispatcher.router.faults, **dispatcher.router.job_table.totals)
         if dispatcher.idempotency is not None:
--- a/mastledge/transport/descriptor_passing.py
+++ b/mastledge/transport/descriptor_passing.py
@@ -47,6 +47,13 @@
     return sock
 
 
+def close_receiver(receiver: socket.socket, path: str) -> None:
+    """Close the socket that receives the messages and remove its file; messages in its queue are lost."""
+    receiver.close()
+    with contextlib.suppress(OSError):
+        os.unlink(path)
+
+
 def send_sockets(path: str, message: bytes, sockets: Sequence[socket.socket]) -> None:
     """Send a message with sockets; raise OSError if there is no receiver or its queue is full."""
     with socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM) as sock:
--- a/tests/test_handoff_processes.py
+++ b/tests/test_handoff_processes.py
@@ -25,6 +25,24 @@
     return folder
 
 
+def test_process_that_ends_leaves_no_socket_in_the_folder(tmp_path):
+    # Guards against a socket file that stays in $TMPDIR after each end of a process.
+    folder = folder_with_path_length(tmp_path, 0)
+    address, control = free(), free()
+    worker = listen((HERE, 0))
+    process = start_process(tmp_path, folder, address, worker.getsockname()[1], control)
+    try:
+        assert wait_until(lambda: http_status(control, "/api/ready") == 200)
+        assert [path.name for path in folder.iterdir() if path.is_socket()]
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(EXIT_TIMEOUT_S) == 0
+        assert not [path.name for path in folder.iterdir() if path.is_socket()]
+    finally:
+        process.kill()
+        process.wait()
+        worker.close()
+
+
 @pytest.mark.parametrize("path_length", [0, 200, 1000])
 def test_upgrade_keeps_a_long_job_whatever_the_path_of_the_folder(path_length, tmp_path):
     # Guards against jobs that are killed at each upgrade because the path of a Unix socket is too long.
