Clients are accepted before a start waits for anything

Callers: a request that came while a dispatcher started was read up to 0.75 s late where the process was told to end meanwhile, and up to 2.25 s late where its recovery folder was slow: answered after its walltime, and launched for nobody.

Cause: the socket listens from the start on, but connections were accepted only in the loop that waits for workers, which came after the folder was read, and not at all once shutdown was requested.

Change: clients are accepted first, unless an older process of the same dispatcher serves.

--- a/mastledge/program/serving.py
+++ b/mastledge/program/serving.py
@@ -34,6 +34,9 @@
     def run(self):
         """Coroutine: return once shutdown is requested."""
         dispatcher = self._dispatcher
+        # Before anything is waited for, and also if shutdown was requested during the start: the system
+        # already accepts connections, and their requests must not wait unread.
+        self._accept_clients()
         if dispatcher.recovery is not None:
             yield from dispatcher.recovery.prepare()
         self._start_discovery()
@@ -41,12 +44,17 @@
         self._first_list_deadline = dispatcher.loop.now() + FIRST_LIST_TIMEOUT_US
         while not dispatcher.stop_requested:
             self._become_ready()
-            if dispatcher.accept_task is None and (
-                dispatcher.listener.ready or not dispatcher.has_sibling_process
-            ):
-                dispatcher.accept_clients()
+            self._accept_clients()
             yield self._next_wait()
 
+    def _accept_clients(self):
+        """Accept clients once; beside an older process only if this one is ready."""
+        dispatcher = self._dispatcher
+        if dispatcher.accept_task is not None:
+            return
+        if dispatcher.listener.ready or not dispatcher.has_sibling_process:
+            dispatcher.accept_clients()
+
     def _start_discovery(self):
         dispatcher = self._dispatcher
         try:
--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,57 @@
+"""Tests of requests and signals that come during the start of a dispatcher."""
+
+import contextlib
+import threading
+
+import helpers
+import pytest
+from test_control import Served
+
+from mastledge.program.recovery_directory import RecoveryDirectory
+
+WALLTIME_MS = 300
+LATENESS_US = 50_000  # that the protocol allows for each time limit
+
+
+@pytest.fixture
+def slow_directory(monkeypatch):
+    """Let the recovery folder be unreadable until the test ends."""
+    test_ended = threading.Event()
+    monkeypatch.setattr(RecoveryDirectory, "read_log", lambda self: test_ended.wait(20))
+    yield
+    test_ended.set()
+
+
+def answer_time(served):
+    """Send a job and return (microseconds until the first bytes of its answer, the answer)."""
+    client = served.connect()
+    client.sendall(helpers.job(X_Remaining_Ms=WALLTIME_MS))
+    client.setblocking(False)
+    received, sent_at = [], served.made.loop.now()
+
+    def has_answer():
+        with contextlib.suppress(BlockingIOError):
+            received.append(client.recv(65536))
+        return bool(received)
+
+    assert served.turn(has_answer, 4_000_000)
+    return served.made.loop.now() - sent_at, received[0]
+
+
+def test_request_is_answered_in_time_when_shutdown_is_requested_during_the_start(tmp_path):
+    # Guards against connections that wait unread in the backlog until the listener closes.
+    served = Served(tmp_path)
+    served.made.stop_requested = True
+    elapsed_us, answer = answer_time(served)
+    assert answer.startswith(b"HTTP/1.1 ")
+    assert elapsed_us <= WALLTIME_MS * 1000 + LATENESS_US
+    served.close()
+
+
+def test_request_is_answered_in_time_while_the_recovery_folder_is_read(tmp_path, slow_directory):
+    # Guards against connections that wait unread in the backlog during the first stage of a start.
+    served = Served(tmp_path, recovery={"folder": str(tmp_path / "starts")})
+    elapsed_us, answer = answer_time(served)
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert elapsed_us <= WALLTIME_MS * 1000 + LATENESS_US
+    served.close()
