A start that reads its recovery folder ends when shutdown is requested

Callers: with a slow folder, a process that is told to end while it reads it ended up to 2.25 s late; SIGKILL finds what it has taken unanswered.

Cause: the first stage of a start waits for the folder for up to 2 s, without a look at whether shutdown was requested.

Evidence: the new test, old code: 2.45 s from the request to the end, 1.0 s allowed (longest wait 0.3 s and 0.7 s).

Measured: the new test failed before, passes now; tests of the start and of the recovery service pass (9).

--- a/mastledge/program/recovery_service.py
+++ b/mastledge/program/recovery_service.py
@@ -93,18 +93,21 @@
             self.directory.take_over()
 
     def prepare(self) -> Generator:
-        """Wait until discovery may be called for the first time, as a coroutine.
+        """Wait until discovery may be called for the first time or shutdown is requested, as a coroutine.
 
         Wait for the directory within the time limit of its stage and apply the stored list. Then wait for a
         random time, so that dispatchers that start together do not all call discovery at once.
         """
+        dispatcher = self._dispatcher
         while not self.directory.is_read and self.stages.stage == StartupStage.READING_STATE:
+            if dispatcher.stop_requested:
+                return
             yield (-1, 0, self._loop.now() + STAGE_INTERVAL_US)
         if self.restored.workers:
-            self._dispatcher.discovery.apply(self._restored_list(), "cached")
+            dispatcher.discovery.apply(self._restored_list(), "cached")
             # Changes apply only to a list that the registry gave to this process, so ask for a whole list.
-            self._dispatcher.discovery.generation = None
-        dispatchers = self._dispatcher.configuration["settings"]["dispatchers"]
+            dispatcher.discovery.generation = None
+        dispatchers = dispatcher.configuration["settings"]["dispatchers"]
         spread_us = min(MAX_DISCOVERY_SPREAD_US, DISCOVERY_SPREAD_US * dispatchers)
         yield (-1, 0, self._loop.now() + int(self._random.draw() * spread_us))
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -7,10 +7,14 @@
 import pytest
 from test_control import Served
 
+from mastledge.program import graceful_shutdown
+from mastledge.program.lifecycle import Phase
 from mastledge.program.recovery_directory import RecoveryDirectory
 
 WALLTIME_MS = 300
 LATENESS_US = 50_000  # that the protocol allows for each time limit
+LONGEST_WAIT_US = 300_000
+KILL_AFTER_LONGEST_US = 700_000
 
 
 @pytest.fixture
@@ -55,3 +59,16 @@
     assert answer.startswith(b"HTTP/1.1 503")
     assert elapsed_us <= WALLTIME_MS * 1000 + LATENESS_US
     served.close()
+
+
+def test_shutdown_does_not_wait_for_the_recovery_folder(tmp_path, slow_directory, monkeypatch):
+    # Guards against a process that has to be killed because its folder is slow.
+    monkeypatch.setattr(graceful_shutdown, "LONGEST_WAIT_US", LONGEST_WAIT_US)
+    served = Served(tmp_path, recovery={"folder": str(tmp_path / "starts")})
+    served.turn(lambda: False, 50_000)
+    signalled_at = served.made.loop.now()
+    served.made.request_stop()
+    served.made.wake()
+    assert served.turn(lambda: served.made.phase == Phase.ENDED, 6_000_000)
+    assert served.made.loop.now() - signalled_at < LONGEST_WAIT_US + KILL_AFTER_LONGEST_US
+    served.close()
