The soak silences the list of an upgrade once the new process is ready

Change: in an upgrade the list falls silent when the new process is ready; all processes are ended after a run that could not go on.

--- a/mastledge/lab/soak/harness.py
+++ b/mastledge/lab/soak/harness.py
@@ -1,6 +1,7 @@
 """Plays one plan on real processes, and records what was seen."""
 
 import asyncio
+import subprocess
 
 from mastledge.lab.harness.dispatcher import Dispatcher, RunFailedError
 from mastledge.lab.harness.observers import measure_lag
@@ -9,7 +10,7 @@
 from mastledge.lab.soak.clients import KeptConnectionClient
 from mastledge.lab.soak.left_behind import client_connections, files_left
 from mastledge.lab.soak.odd_clients import OddClients
-from mastledge.lab.soak.plan import Draws, Hang, SoakPlan
+from mastledge.lab.soak.plan import Draws, Ending, Hang, SoakPlan
 from mastledge.lab.soak.run_delay import record_run_delays
 from mastledge.lab.soak.signal_series import SignalSeries
 from mastledge.lab.wire import now
@@ -34,6 +35,7 @@
         self.load_is_over = False
         self.has_successor = False
         self.shutdown_began_at: int | None = None
+        self.processes: list[subprocess.Popen] = []
 
     # What the clients ask
 
@@ -62,6 +64,11 @@
 
     # The run
 
+    def start(self, node: Dispatcher) -> None:
+        """Start a process of a dispatcher, which need not become ready."""
+        super().start(node)
+        self.processes.append(node.process)
+
     async def play(self) -> None:
         """Play the plan; RunFailedError if it cannot go on."""
         node = self.nodes[ENDING_DISPATCHER]
@@ -102,8 +109,13 @@
         for number in range(plan.hanging_workers if plan.hang is not Hang.NONE else 0):
             step = Step(at=0, kind=plan.hang.value, amount=20.0 if plan.hang is Hang.SLOW else 0)
             self.workers[f"w{number}"].troubles.add(now(), step)
-        if plan.list_is_silent:
-            self.registry.agents[ENDING_DISPATCHER].silent = True
+        # The new process of an upgrade needs the list to become ready.
+        if plan.ending is not Ending.UPGRADE:
+            self.silence_list()
+
+    def silence_list(self) -> None:
+        """Let the list of the dispatcher that ends fall silent, if the plan says so."""
+        self.registry.agents[ENDING_DISPATCHER].silent = self.plan.list_is_silent
 
     async def _note_connections_left(self) -> None:
         """Record the connections of clients that a dispatcher still holds after all clients have gone."""
@@ -129,6 +141,11 @@
     async def end(self) -> None:
         """End all processes, and record the files that they leave behind."""
         await super().end()
+        for process in self.processes:
+            # Only after a run that could not go on.
+            if process.poll() is None:
+                process.kill()
+                process.wait()
         for node in self.nodes.values():
             for path in files_left(node.folder):
                 self.note("file_left", who=node.name, path=path)
--- a/mastledge/lab/soak/signal_series.py
+++ b/mastledge/lab/soak/signal_series.py
@@ -105,6 +105,7 @@
             f"the new {self.node.name} is not ready: {self.node.last_log_line()}",
         )
         self.harness.has_successor = True
+        self.harness.silence_list()
         await self.end(old)
 
     async def end_upgrade_early(self) -> None:
