--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -3,14 +3,17 @@
 """
 
 import asyncio
+import importlib.util
+import pathlib
 
 import pytest
 
 from mastledge.lab import scenario
 from mastledge.lab.invariant_checker import RULES, judged
 from mastledge.lab.load import Clients
-from mastledge.lab.process_harness import ProcessHarness
+from mastledge.lab.process_harness import ProcessHarness, compile_package
 from mastledge.lab.scenario import ScenarioError, known, read
+from mastledge.program import dispatcher
 
 
 def played(text, tmp_path, seed=1, **how):
@@ -229,6 +232,14 @@
     assert judged(told)["the_service_comes_back"] == []
 
 
+def test_dispatchers_of_the_laboratory_start_from_byte_code():
+    # Guards against restarts that take several times as long as in service, since each compiles the program.
+    byte_code = pathlib.Path(importlib.util.cache_from_source(dispatcher.__file__))
+    byte_code.unlink(missing_ok=True)
+    compile_package()
+    assert byte_code.exists()
+
+
 def test_goals_of_a_scenario_know_good_from_bad():
     goals = {"back_s": 1.0, "share": 0.95, "within_s": 2.0, "most_out": 2.0}
     spell = {"who": "", "fault": "all", "from": 0, "to": 500_000}
