Clients of the laboratory and of the soak note tries and answers by the same functions

Cause: the soak's clients wrote the two kinds of events again, field by field.

Change: note_sent and note_answer are functions of lab/load.py; an answer is a ReceivedAnswer. The events are the same.

--- a/mastledge/lab/load.py
+++ b/mastledge/lab/load.py
@@ -7,13 +7,14 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import h11
 import numpy
 
 from mastledge.lab.scenario import Clients as ClientOptions
 from mastledge.lab.scenario import QueueType
+from mastledge.lab.stub_servers import Notes
 from mastledge.lab.wire import address, body, call, event, now
 
 if TYPE_CHECKING:
@@ -32,6 +33,42 @@
 MAX_RESULT_CHARACTERS = 60
 
 
+def note_sent(notes: Notes, attempt: "Attempt", who: str, sent: int) -> None:
+    """Note that a try was sent to a dispatcher at microsecond `sent`."""
+    notes.note(
+        "sent",
+        at=sent,
+        job=attempt.job,
+        key=attempt.key,
+        type=attempt.queue_type.name,
+        who=who,
+        walltime=attempt.walltime_ms * 1000,
+        attempt=attempt.number,
+    )
+
+
+class ReceivedAnswer(NamedTuple):
+    """An answer as a client has read it."""
+
+    head: h11.Response
+    content: bytes
+
+
+def note_answer(notes: Notes, attempt: "Attempt", who: str, sent: int, answer: ReceivedAnswer) -> None:
+    """Note the answer of a try that was sent at microsecond `sent`."""
+    headers = dict(answer.head.headers)
+    notes.note(
+        "answer",
+        job=attempt.job,
+        status=answer.head.status_code,
+        ms=(now() - sent) / 1000,
+        who=who,
+        type=attempt.queue_type.name,
+        result=answer.content.decode("latin-1")[:MAX_RESULT_CHARACTERS],
+        retry=headers.get(b"retry-after", b"").decode(),
+    )
+
+
 class Front:
     """The load balancer before the dispatchers: it picks among those that say that they are ready."""
 
@@ -194,12 +231,12 @@
             self.front.ready[who] = False
             return RECONNECT_S
         sent = now()
-        self.note_sent(attempt, who, sent)
+        note_sent(self.harness, attempt, who, sent)
         keeps = False
         try:
             writer.write(raw)
             head, result = await self.read_answer(conn, reader, attempt)
-            self.note_answer(attempt, who, sent, head, result)
+            note_answer(self.harness, attempt, who, sent, ReceivedAnswer(head, result))
             fields = dict(head.headers)
             if conn.their_state is h11.DONE and fields.get(b"connection") != b"close":
                 self.front.idle[who].append((reader, writer))
@@ -235,32 +272,6 @@
                 raise ConnectionError("ended")
             return head, await body(conn, reader)
 
-    def note_sent(self, attempt: Attempt, who: str, sent: int) -> None:
-        """Note that a try is on its way."""
-        self.harness.note(
-            "sent",
-            at=sent,
-            job=attempt.job,
-            key=attempt.key,
-            type=attempt.queue_type.name,
-            who=who,
-            walltime=attempt.walltime_ms * 1000,
-            attempt=attempt.number,
-        )
-
-    def note_answer(self, attempt: Attempt, who: str, sent: int, head: h11.Response, result: bytes) -> None:
-        """Note the answer of a try."""
-        self.harness.note(
-            "answer",
-            job=attempt.job,
-            status=head.status_code,
-            ms=(now() - sent) / 1000,
-            who=who,
-            type=attempt.queue_type.name,
-            result=result.decode("latin-1")[:MAX_RESULT_CHARACTERS],
-            retry=dict(head.headers).get(b"retry-after", b"").decode(),
-        )
-
     def note_no_answer(self, attempt: Attempt, who: str, sent: int, error: Exception) -> float | None:
         """Note that a try got no answer; return the seconds until the next one, None where there is none."""
         waited_ms = (now() - sent) / 1000
--- a/mastledge/lab/soak/clients.py
+++ b/mastledge/lab/soak/clients.py
@@ -6,7 +6,7 @@
 
 import h11
 
-from mastledge.lab.load import ANSWER_SLACK_S, Attempt
+from mastledge.lab.load import ANSWER_SLACK_S, Attempt, ReceivedAnswer, note_answer, note_sent
 from mastledge.lab.scenario import QueueType
 from mastledge.lab.soak.connection_state import (
     TCP_CLOSE,
@@ -25,11 +25,10 @@
 MAX_THINKING_S = 0.01  # between an answer and the next request
 SHORT_WALLTIME_PROBABILITY = 0.1
 SHORT_WALLTIMES_MS = (1, 40)
-MAX_RESULT_CHARACTERS = 60
 
 
 @dataclass(slots=True)
-class ClientConnection:
+class KeptConnection:
     """A kept connection of a client; `is_new` until its first request has been answered."""
 
     who: str
@@ -48,7 +47,7 @@
         """Take the client's number; if it `leaves`, it closes its connection during some of its jobs."""
         self.harness, self.number, self.leaves = harness, number, leaves
         self.draws = Draws(harness.seed, f"client {number}")
-        self.connection: ClientConnection | None = None
+        self.connection: KeptConnection | None = None
         self.looks_first = self.draws.happens(0.5)
         self.count = 0
 
@@ -78,7 +77,7 @@
                 streams = await asyncio.open_connection(*address(self.harness.nodes[who].listen))
         except (OSError, TimeoutError):
             return False
-        self.connection = ClientConnection(who, *streams)
+        self.connection = KeptConnection(who, *streams)
         return True
 
     def close(self) -> None:
@@ -111,10 +110,10 @@
             patience_s = self.draws.between(0, 0.1)
         try:
             async with asyncio.timeout(patience_s):
-                head, content = await read_answer(http, connection.reader)
+                answer = await read_answer(http, connection.reader)
         except TimeoutError:
             self.close()
-            self.record_sent(attempt, connection.who, sent_at)
+            note_sent(self.harness, attempt, connection.who, sent_at)
             if is_leaving:
                 self.harness.note("left", job=attempt.job, who=connection.who, ms=(now() - sent_at) / 1000)
             else:
@@ -124,10 +123,10 @@
             self.record_end(attempt, sent_at, end_of_connection(state_after_write, was_reset))
             self.close()
         else:
-            self.record_sent(attempt, connection.who, sent_at)
-            self.record_answer(attempt, connection.who, sent_at, head, content)
+            note_sent(self.harness, attempt, connection.who, sent_at)
+            note_answer(self.harness, attempt, connection.who, sent_at, answer)
             connection.is_new = False
-            if must_close(http, head):
+            if must_close(http, answer.head):
                 self.close()
 
     def record_end(self, attempt: Attempt, sent_at: int, end: EndOfConnection) -> None:
@@ -147,48 +146,20 @@
                 why=end.name,
             )
             return
-        self.record_sent(attempt, connection.who, sent_at)
+        note_sent(self.harness, attempt, connection.who, sent_at)
         self.record_lost(attempt, connection.who, sent_at, end.name)
 
-    def record_sent(self, attempt: Attempt, who: str, sent_at: int) -> None:
-        """Record that a request was taken by a dispatcher."""
-        self.harness.note(
-            "sent",
-            at=sent_at,
-            job=attempt.job,
-            key=attempt.key,
-            type=attempt.queue_type.name,
-            who=who,
-            walltime=attempt.walltime_ms * 1000,
-            attempt=attempt.number,
-        )
-
     def record_lost(self, attempt: Attempt, who: str, sent_at: int, why: str) -> None:
         """Record that a request that was taken got no answer."""
         self.harness.note("lost", job=attempt.job, who=who, why=why, ms=(now() - sent_at) / 1000)
 
-    def record_answer(
-        self, attempt: Attempt, who: str, sent_at: int, head: h11.Response, content: bytes
-    ) -> None:
-        """Record an answer."""
-        self.harness.note(
-            "answer",
-            job=attempt.job,
-            status=head.status_code,
-            ms=(now() - sent_at) / 1000,
-            who=who,
-            type=attempt.queue_type.name,
-            result=content.decode("latin-1")[:MAX_RESULT_CHARACTERS],
-            retry=dict(head.headers).get(b"retry-after", b"").decode(),
-        )
-
-
-async def read_answer(http: h11.Connection, reader: asyncio.StreamReader) -> tuple[h11.Response, bytes]:
+
+async def read_answer(http: h11.Connection, reader: asyncio.StreamReader) -> ReceivedAnswer:
     """Return an answer; raise ConnectionError if the connection ends first."""
     head = await event(http, reader)
     if not isinstance(head, h11.Response):
         raise ConnectionError("the connection ended")
-    return head, await body(http, reader)
+    return ReceivedAnswer(head, await body(http, reader))
 
 
 def must_close(http: h11.Connection, head: h11.Response) -> bool:
