A keyed job counts as under way from the moment its request is read

Callers: at an upgrade with `repeats`, a keyed request that was read just as the old process releases the keys' directory got 500 (may have run) at the end of its walltime, although nothing ran, also where the key's answer was known.

Cause: the count that keeps the directory was raised by the coroutine that runs the job, which starts one turn of the loop after the request is read. A release in that turn saw no job.

Change: the count is raised where the task is spawned, for replicated keys and for keys on one dispatcher. Tasks that are counted elsewhere (clients, launches, handed-off jobs) are entered when they are started already.

Measured: the new test failed for both forms before, passes now; 234 tests of crossings, keys and replication passed.

--- a/mastledge/program/idempotency_service.py
+++ b/mastledge/program/idempotency_service.py
@@ -124,6 +124,8 @@
 
     def _start_job(self, record: Record, exchange: Exchange, arrival: tuple) -> None:
         job = self.first_jobs[record.scoped_key] = KeyedJob(record, exchange)
+        # Counted before the task starts, so that the directory is not released in between.
+        self.jobs_under_way += 1
         job.task = self.loop.spawn(self._run_job(job, arrival))
 
     def _wait_for_job(
@@ -140,7 +142,6 @@
 
     def _run_job(self, job: KeyedJob, arrival: tuple) -> Coroutine:
         """Run the first job of a key to its end, even if clients leave, and wake those that still wait."""
-        self.jobs_under_way += 1
         try:
             reply = yield from self._execute(job, arrival)
         finally:
--- a/mastledge/program/replicated_jobs.py
+++ b/mastledge/program/replicated_jobs.py
@@ -75,6 +75,8 @@
         """
         self._last_id += 1
         job = self._jobs[self._last_id] = _Job(self._last_id, conn)
+        # Counted before the task starts, so that the directory is not released in between.
+        self._count_under_way(1)
         job.task = self._loop.spawn(self._run_to_end(job, exchange, arrival))
         exchange.disconnect_check = job.client_left
         try:
@@ -99,7 +101,6 @@
 
     def _run_to_end(self, job: _Job, exchange: Exchange, arrival: tuple) -> Coroutine:
         """Run a job to its end even if its client leaves, and wake the client, if it still waits."""
-        self._count_under_way(1)
         try:
             reply = yield from self._claim_and_launch(job, exchange, arrival)
             if job.conn is not None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -712,6 +712,42 @@
     assert dispatcher.rig.reply(second).endswith(b"\r\n\r\nr")
 
 
+# The data directory of the keys at an upgrade
+
+
+def release_directories_after_each_offer(dispatcher, monkeypatch):
+    """Release the directories, as for a successor, right after a request has been read."""
+    idempotency = dispatcher.made.idempotency
+    offer = idempotency.offer
+
+    def offer_then_release(*arguments):
+        coroutine = offer(*arguments)
+        wait = next(coroutine)
+        dispatcher.made.release_data_directories()
+        while True:
+            received = yield wait
+            try:
+                wait = coroutine.send(received)
+            except StopIteration as ended:
+                return ended.value
+
+    monkeypatch.setattr(idempotency, "offer", offer_then_release)
+
+
+@pytest.mark.parametrize("copies", [1, 3])
+def test_directory_of_keys_is_kept_for_a_job_that_was_just_read(
+    copies, serving, replicated, tmp_path, monkeypatch
+):
+    """A job that was read but not started yet did not count, so its key could no longer be claimed."""
+    dispatcher = replicated() if copies > 1 else serving(repeats=key_settings(tmp_path))
+    dispatcher.serving()
+    release_directories_after_each_offer(dispatcher, monkeypatch)
+    client = dispatcher.send_job(Idempotency_Key="k1")
+    dispatcher.answer_only_launch("a1")
+    assert dispatcher.rig.reply(client).endswith(b"\r\n\r\nr")
+    assert dispatcher.turn(dispatcher.made.idempotency.idle)
+
+
 # Shutdown
 
 
