--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -1,11 +1,18 @@
 """Tests of requests and signals that come during the start of a dispatcher."""
 
 import contextlib
+import os
+import signal
+import subprocess
+import sys
 import threading
 
 import helpers
+import orjson
 import pytest
-from test_control import Served
+from test_control import Served, free
+from test_program import file
+from test_upgrade import http_status, wait_until
 
 from mastledge.program import graceful_shutdown
 from mastledge.program.lifecycle import Phase
@@ -72,3 +79,28 @@
     assert served.turn(lambda: served.made.phase == Phase.ENDED, 6_000_000)
     assert served.made.loop.now() - signalled_at < LONGEST_WAIT_US + KILL_AFTER_LONGEST_US
     served.close()
+
+
+def test_reload_requested_while_the_configuration_is_read_does_not_end_the_process(tmp_path):
+    # Guards against SIGHUP ending a process that has not installed its signal handlers yet.
+    control = free()
+    path = file(tmp_path, listen=free(), discovery=free(), control=control)
+    content = (tmp_path / "config.json").read_bytes()
+    (tmp_path / "config.json").rename(tmp_path / "next.json")
+    os.mkfifo(path)  # the process waits in its first read of the configuration
+    command = [sys.executable, "-m", "mastledge", "serve", "--config", path]
+    process = subprocess.Popen(command, stderr=subprocess.PIPE)
+    try:
+        with open(path, "wb") as fifo:  # returns once the process has opened its end
+            process.send_signal(signal.SIGHUP)
+            (tmp_path / "next.json").rename(path)
+            fifo.write(content)
+        assert wait_until(lambda: http_status(control, "/api/ready") or process.poll() is not None)
+        assert process.poll() is None
+        process.send_signal(signal.SIGTERM)
+        events = [orjson.loads(line)["event"] for line in process.communicate(timeout=10)[1].splitlines()]
+        assert process.returncode == 0
+        assert "configuration_loaded" in events
+    finally:
+        process.kill()
+        process.wait()
