The laboratory records the run delay of processes in every run

Why: a launch behind the end of its client, and answers behind a walltime, could not be told from hold-ups by the machine; only the soak recorded for how long a process had waited for a processor.

Change: the sampling moves from the soak to the process harness.

--- a/mastledge/lab/invariants/record_queries.py
+++ b/mastledge/lab/invariants/record_queries.py
@@ -47,7 +47,7 @@
 def hold_up_us(record: Record, who: str, since: int, until: int) -> int:
     """Return for how long the machine kept a dispatcher's processes from running in that time.
 
-    Only the soak records that.
+    Simulated runs have none.
     """
     return sum(
         event["us"]
--- a/mastledge/lab/process_harness.py
+++ b/mastledge/lab/process_harness.py
@@ -24,6 +24,7 @@
 from mastledge.lab.harness.dispatcher_configuration import command_line, write_configuration
 from mastledge.lab.harness.fault_steps import run_step
 from mastledge.lab.harness.observers import measure_lag, show_progress
+from mastledge.lab.harness.run_delay import record_run_delays
 from mastledge.lab.harness.run_record import take_record
 from mastledge.lab.harness.settling import settle
 from mastledge.lab.invariants.record_queries import goal_window_start
@@ -82,6 +83,7 @@
         self.link_proxies: dict[tuple[str, str], LinkProxy] = {}
         self.reserved: list[socket.socket] = []
         self.events: list[dict[str, Any]] = []
+        self.started: list[tuple[str, subprocess.Popen]] = []  # each process with its dispatcher
         self.spells: list[dict[str, Any]] = []
         self.late, self.lag = 0.0, 0.0  # seconds: the latest job, and the latest turn of this process
         self.began: int | None = None
@@ -149,6 +151,7 @@
             node.process = subprocess.Popen(
                 command_line(self, node), stderr=log, env=env, stdin=subprocess.DEVNULL
             )
+        self.started.append((node.name, node.process))
         self.note("started", who=node.name, pid=node.process.pid)
 
     def killed(self, node: Dispatcher, how: int = signal.SIGKILL) -> None:
@@ -256,7 +259,11 @@
         self.say(f"{scenario.dispatchers} dispatchers and {scenario.workers.count} workers are ready")
         self.note("began")
         clients = Clients(self, scenario.clients, self.seed, scenario.seconds)
-        observers = [asyncio.create_task(clients.front.look()), asyncio.create_task(measure_lag(self))]
+        observers = [
+            asyncio.create_task(clients.front.look()),
+            asyncio.create_task(measure_lag(self)),
+            asyncio.create_task(record_run_delays(self)),
+        ]
         if self.show is not None:
             observers.append(asyncio.create_task(show_progress(self)))
         await asyncio.sleep(FRONT_LEAD_S)
--- a/mastledge/lab/soak/harness.py
+++ b/mastledge/lab/soak/harness.py
@@ -1,17 +1,16 @@
 """Plays one plan on real processes, and records what was seen."""
 
 import asyncio
-import subprocess
 
 from mastledge.lab.harness.dispatcher import Dispatcher, RunFailedError
 from mastledge.lab.harness.observers import measure_lag
+from mastledge.lab.harness.run_delay import record_run_delays
 from mastledge.lab.process_harness import ProcessHarness
 from mastledge.lab.scenario import Step
 from mastledge.lab.soak.clients import KeptConnectionClient
 from mastledge.lab.soak.left_behind import client_connections, files_left
 from mastledge.lab.soak.odd_clients import OddClients
 from mastledge.lab.soak.plan import Draws, Ending, Hang, SoakPlan
-from mastledge.lab.soak.run_delay import record_run_delays
 from mastledge.lab.soak.signal_series import SignalSeries
 from mastledge.lab.wire import now
 
@@ -35,7 +34,6 @@
         self.load_is_over = False
         self.has_successor = False
         self.shutdown_began_at: int | None = None
-        self.processes: list[subprocess.Popen] = []
 
     # What the clients ask
 
@@ -64,11 +62,6 @@
 
     # The run
 
-    def start(self, node: Dispatcher) -> None:
-        """Start a process of a dispatcher, which need not become ready."""
-        super().start(node)
-        self.processes.append(node.process)
-
     async def play(self) -> None:
         """Play the plan; RunFailedError if it cannot go on."""
         node = self.nodes[ENDING_DISPATCHER]
@@ -129,10 +122,6 @@
             for node in self._running():
                 self.note("connections_left", who=node.name, count=client_connections(node.listen))
 
-    def started_processes(self) -> list[tuple[str, int]]:
-        """Return the dispatcher and the process id of each process that was started, ended or not."""
-        return [(event["who"], event["pid"]) for event in self.events if event["kind"] == "started"]
-
     def _running(self) -> list[Dispatcher]:
         return [
             node for node in self.nodes.values() if node.process is not None and node.process.poll() is None
@@ -141,7 +130,7 @@
     async def end(self) -> None:
         """End all processes, and record the files that they leave behind."""
         await super().end()
-        for process in self.processes:
+        for _, process in self.started:
             # Only after a run that could not go on.
             if process.poll() is None:
                 process.kill()
--- a/mastledge/lab/soak/signal_series.py
+++ b/mastledge/lab/soak/signal_series.py
@@ -7,9 +7,9 @@
 from typing import TYPE_CHECKING
 
 from mastledge.lab.harness.dispatcher import LOOK, READY_TIMEOUT_S, Dispatcher
+from mastledge.lab.harness.run_delay import run_delay_us
 from mastledge.lab.invariants.answers import MAX_HOLD_UP_US
 from mastledge.lab.soak.plan import Ending
-from mastledge.lab.soak.run_delay import run_delay_us
 from mastledge.lab.wire import now
 
 if TYPE_CHECKING:
