A missed goal of a scenario says how late the harness was

Seen: lasting-overload misses its goal beside much other work, and its report did not say that the harness, which has the clients and the workers, ran late.

It stays a breach.

--- a/mastledge/lab/invariants/recovery.py
+++ b/mastledge/lab/invariants/recovery.py
@@ -15,7 +15,8 @@
 def the_service_comes_back(record: Record) -> Iterator[str]:
     """Where a scenario has the goal: so long after the last fault first tries are served as before.
 
-    A record without first tries in that time cannot be judged, which is a breach as well.
+    A record without first tries in that time cannot be judged, which is a breach as well. A harness that was
+    late itself may be the cause: the breach says so.
     """
     goals = record.get("goals") or {}
     if not goals.get("back_s"):
@@ -30,7 +31,11 @@
         return
     served = sum(end <= at + goals["within_s"] * 1e6 for at, end in late) / len(late)
     if served < goals["share"]:
-        yield f"{served:.3f} of first tries are served {goals['back_s']:g} s after the last fault and later"
+        line = f"{served:.3f} of first tries are served {goals['back_s']:g} s after the last fault and later"
+        lag_ms = record.get("lag_ms", 0)
+        if lag_ms * 1000 > SLACK:
+            line += f"; the harness, which has the workers, was {lag_ms:.0f} ms late"
+        yield line
 
 
 def no_stampede(record: Record) -> Iterator[str]:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -256,6 +256,7 @@
     assert not good["the_service_comes_back"] and not good["no_stampede"]
     bad = run(503, 9)
     assert "0.000 of first tries" in bad["the_service_comes_back"][0]
+    assert "80 ms late" in run(503, 9, lag_ms=80)["the_service_comes_back"][0]
     assert "9 launches" in bad["no_stampede"][0]
     assert not run(200, 9, lag_ms=80)["no_stampede"]  # the rig itself was late
     nobody = judged(record(goals=goals, spells=[spell]))
