The soak counts the answers that only a hold-up excuses

Why: how often the allowance for hold-ups decided was not known, as records of good seeds are not kept.

Change: each seed and the summary count answers over 50 ms behind their walltime.

--- a/mastledge/lab/soak/command.py
+++ b/mastledge/lab/soak/command.py
@@ -15,7 +15,7 @@
 from mastledge.lab.commands.options import SubCommands, add_command, add_quiet
 from mastledge.lab.commands.output import STATUS_BROKEN, STATUS_GOOD
 from mastledge.lab.invariant_checker import RULES, judged
-from mastledge.lab.invariants.record_queries import Record, of
+from mastledge.lab.invariants.record_queries import SLACK, Record, of
 from mastledge.lab.soak.harness import SoakHarness
 from mastledge.lab.soak.plan import SoakPlan, draw_plan
 
@@ -42,7 +42,7 @@
 
     def lines(self) -> Iterator[str]:
         """Return the line of this seed, and what it broke."""
-        answers = ", ".join(f"{kind} {count}" for kind, count in sorted(self.answers.items()))
+        answers = ", ".join(f"{kind} {count}" for kind, count in sorted(self.answers.items()) if count)
         ended = ", ".join(f"{ms:.0f}" for ms in self.shutdown_ms)
         verdict = "good" if self.is_good else "BROKEN"
         yield f"seed {self.plan.seed}: {verdict}: {self.plan.describe()}; {answers}; ended in {ended} ms"
@@ -59,9 +59,16 @@
     answers = Counter(str(event["status"]) for event in of(record, "answer"))
     answers.update(event["kind"] for event in of(record, "lost", "left"))
     answers.update(f"crossed {event['why']}" for event in of(record, "crossed"))
+    answers["over 50 ms late"] = late_answer_count(record)
     return answers
 
 
+def late_answer_count(record: Record) -> int:
+    """Return how many answers came later than the protocol allows without a hold-up by the machine."""
+    due = {event["job"]: event["at"] + event["walltime"] for event in of(record, "sent")}
+    return sum(event["at"] > due[event["job"]] + SLACK for event in of(record, "answer"))
+
+
 def play_seed(seed: int, records: str, build: str = "") -> SeedResult:
     """Play one seed; keep its record below the folder `records` if it broke a rule."""
     plan = draw_plan(seed)
@@ -93,7 +100,9 @@
 def summary(results: list[SeedResult]) -> Iterator[str]:
     """Return the lines of the summary: endings, crowds, answers, and the breaches of each rule."""
     endings = Counter(result.plan.ending.value for result in results)
-    answers = sum((result.answers for result in results), Counter())
+    answers: Counter = Counter()
+    for result in results:
+        answers.update(result.answers)
     crowds = sum(result.plan.crowd > 0 for result in results)
     yield "endings: " + ", ".join(f"{ending} {count}" for ending, count in sorted(endings.items()))
     yield f"crowds: {crowds}"
