--- a/review/common/stand.py
+++ b/review/common/stand.py
@@ -168,6 +168,9 @@
         self.began: list[tuple[str, str]] = []  # (id, key) of each request that was begun
         super().__init__()
 
+    def began_with(self, first: bytes, name: str) -> None:
+        """Take the request line of a request that begins."""
+
     def serve(self, conn: socket.socket) -> None:
         """Serve the requests of one connection."""
         rest = b""
@@ -178,6 +181,7 @@
                 conn.sendall(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
                 continue
             self.began.append((name, headers.get("idempotency-key", "")))
+            self.began_with(first, name)
             self.record(f"worker {self.name} begins {name} ({first.decode('latin-1')})")
             if self.job(conn, name, headers, body) is False:
                 return
@@ -247,9 +251,9 @@
 class Answer:
     """What a client got: a status and a body, or status 0 and the reason."""
 
-    def __init__(self, status: int, body: bytes, why: str = "") -> None:
-        """Take the fields."""
-        self.status, self.body, self.why = status, body, why
+    def __init__(self, status: int, body: bytes, why: str = "", close: bool = False) -> None:
+        """Take the fields; `close`: the dispatcher closes the connection behind the answer."""
+        self.status, self.body, self.why, self.close = status, body, why, close
 
     def __str__(self) -> str:
         """Return a short text for the record."""
@@ -279,7 +283,9 @@
                 fields = {key.strip().lower(): value.strip() for key, _, value in lines}
                 length = int(fields.get(b"content-length", b"0"))
                 if len(rest) >= length:
-                    return Answer(int(head.split()[1]), rest[:length])
+                    return Answer(
+                        int(head.split()[1]), rest[:length], close=fields.get(b"connection") == b"close"
+                    )
             sock.settimeout(max(0.001, until - time.monotonic()))
             more = sock.recv(65536)
             if not more:
@@ -337,7 +343,7 @@
                 for log in sorted(Path(temporary).glob("*.log")):
                     for text in log.read_text(errors="replace").splitlines():
                         if any(word in text for word in INTERESTING):
-                            record(f"log of {log.stem}: {text[:400]}")
+                            record(f"log of {log.stem}: {text[:1500]}")
     finally:
         record(f"exit status {status}")
     sys.stdout.write(f"exit status {status}\n")
