--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Build all stand-ins of the review: they are Python with the standard library only, run by the .venv that
-# the deploy file's build makes. Cases 1 and 3 use `repeats`, for which the project's own
+# the deploy file's build makes. Case 1 uses `repeats`, for which the project's own
 # requirements-fleet.txt is needed beside requirements.txt; it is installed here if it is not there yet.
 set -eu
 cd "$(dirname "$0")/.."
