--- a/review/2/case.py
+++ b/review/2/case.py
@@ -85,6 +85,8 @@
     lost = [name for name, answer in answers.items() if not answer.status]
     wrong = [name for name, answer in answers.items() if answer.status == 200 and answer.body != RESULT]
     record(f"jobs sent {JOBS}, begun {len(worker.began)}, with no answer {lost}, with a wrong result {wrong}")
+    if len(worker.began) < JOBS or len(answers) < JOBS:
+        raise RuntimeError("not all jobs were begun and waited for")
     return stand.BROKEN if lost or wrong else stand.HELD
 
 
--- a/review/common/stand.py
+++ b/review/common/stand.py
@@ -16,6 +16,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 HERE = "127.0.0.1"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+LONGEST_RUN_S = 115  # a script runs for 120 s at most
 HEARTBEAT_S = 2.0  # the protocol page: an empty line every 2 s on a watch without a change
 
 
@@ -38,11 +39,18 @@
             self.file.flush()
 
 
+GIVEN_PORTS: set[int] = set()
+
+
 def free_port() -> int:
-    """Return a port that nobody listens on."""
-    with socket.socket() as sock:
-        sock.bind((HERE, 0))
-        return sock.getsockname()[1]
+    """Return a port that was free just now, and another one at each call; the system picks it."""
+    while True:
+        with socket.socket() as sock:
+            sock.bind((HERE, 0))
+            port = sock.getsockname()[1]
+        if port not in GIVEN_PORTS:
+            GIVEN_PORTS.add(port)
+            return port
 
 
 def read_request(sock: socket.socket, rest: bytes = b"") -> tuple[bytes, dict[str, str], bytes, bytes] | None:
@@ -325,8 +333,20 @@
     } | more
 
 
+class EndedError(Exception):
+    """The script was told to end, or ran for too long."""
+
+
+def end_on_signal(number: int, frame: object) -> None:
+    """Raise EndedError in the main thread, so that all processes are ended."""
+    raise EndedError(signal.Signals(number).name)
+
+
 def main(case, folder: str) -> None:
-    """Run `case(record, folder, trouble)`, and exit with its status; 2 if it could not run."""
+    """Run `case(record, dispatchers, trouble)`, and exit with its status; 2 if it could not run."""
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
+        signal.signal(number, end_on_signal)
+    signal.alarm(LONGEST_RUN_S)
     record = Record(Path(folder) / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"trouble: {trouble}")
@@ -336,16 +356,17 @@
             dispatchers = Dispatchers(Path(temporary), record)
             try:
                 status = case(record, dispatchers, trouble)
-            except (OSError, TimeoutError, RuntimeError) as error:
-                record(f"the case could not run: {type(error).__name__}: {error}")
             finally:
                 dispatchers.end()
                 for log in sorted(Path(temporary).glob("*.log")):
                     for text in log.read_text(errors="replace").splitlines():
                         if any(word in text for word in INTERESTING):
                             record(f"log of {log.stem}: {text[:1500]}")
-    finally:
-        record(f"exit status {status}")
+    except Exception as error:
+        # Whatever stops a script is no broken rule.
+        status = NOT_RUN
+        record(f"the case could not run: {type(error).__name__}: {error}")
+    record(f"exit status {status}")
     sys.stdout.write(f"exit status {status}\n")
     sys.stdout.flush()
     os._exit(status)
