An upgrade keeps jobs of whose answer a long line is partly read

What callers saw: at an upgrade the client's connection was closed with no answer while the job ran on at its worker.

Cause: the hand-off's datagram holds the unfinished line in base64. It is sent at any length, and the job is let go; the new process reads 4096 bytes, so the rest is cut off and the job is refused with both of its sockets.

Why this works: the receiver reads up to 1 MiB, more than a datagram of a default send buffer (212,992 bytes here) and than the longest accepted line in base64.

Test: test_upgrade_keeps_a_job_whose_answer_line_is_partly_read[5000, 36000], two real processes; both failed before the change (empty answer), both pass with it.

--- a/mastledge/program/connection_handoff.py
+++ b/mastledge/program/connection_handoff.py
@@ -16,7 +16,7 @@
 from mastledge.protocol.worker_connections import WorkerConnections
 from mastledge.transport import descriptor_passing
 from mastledge.transport.connection import Connection
-from mastledge.transport.errors import WaitTimeoutError
+from mastledge.transport.errors import IncompleteMessageError, WaitTimeoutError
 from mastledge.transport.loop import READ
 
 # A job is killed this long before its answer is due: the process may be held up for this long between the
@@ -136,10 +136,20 @@
         while True:
             yield (self._receiver.fileno(), READ, None)
             for _ in range(MAX_JOBS_PER_TURN):
-                received = descriptor_passing.receive_sockets(self._receiver, SOCKETS_PER_JOB)
-                if received is None:
+                if not self._receive_job():
                     break
-                self.take_over(*received)
+
+    def _receive_job(self):
+        """Receive one job; return whether there was a message."""
+        try:
+            received = descriptor_passing.receive_sockets(self._receiver, SOCKETS_PER_JOB)
+        except IncompleteMessageError as error:
+            self._refuse((), str(error))
+            return True
+        if received is None:
+            return False
+        self.take_over(*received)
+        return True
 
     def stop_listening(self) -> None:
         """Remove the socket that receives jobs, as this process exits."""
--- a/mastledge/transport/descriptor_passing.py
+++ b/mastledge/transport/descriptor_passing.py
@@ -9,7 +9,9 @@
 import socket
 from collections.abc import Iterator, Sequence
 
-MAX_MESSAGE_BYTES = 4096
+from mastledge.transport.errors import IncompleteMessageError
+
+MAX_MESSAGE_BYTES = 1024 * 1024  # above any datagram that a default send buffer accepts (socket(7))
 MAX_ADDRESS_BYTES = 107  # sun_path of unix(7), without the terminating zero
 
 
@@ -64,17 +66,23 @@
 
 
 def receive_sockets(receiver: socket.socket, count: int) -> tuple[bytes, list[socket.socket]] | None:
-    """Return the next message and its sockets, or None if there is no message.
+    """Return the next message and its `count` sockets, or None if there is no message.
 
-    If a message arrives truncated or without all `count` sockets, close those received and return (b"", []).
+    If the message is truncated or lacks sockets, close those received and raise IncompleteMessageError.
     """
     try:
         message, fds, flags, _ = socket.recv_fds(receiver, MAX_MESSAGE_BYTES, count)
     except BlockingIOError:
         return None
     sockets = [socket.socket(fileno=fd) for fd in fds]
-    if len(sockets) == count and not flags & (socket.MSG_TRUNC | socket.MSG_CTRUNC):
+    reason = None
+    if flags & socket.MSG_TRUNC:
+        reason = f"the message is longer than {MAX_MESSAGE_BYTES} bytes"
+    elif len(sockets) != count or flags & socket.MSG_CTRUNC:
+        # The kernel drops the sockets for which this process has no free descriptor.
+        reason = f"the message brought {len(sockets)} sockets in place of {count}"
+    if reason is None:
         return message, sockets
     for received_socket in sockets:
         received_socket.close()
-    return b"", []
+    raise IncompleteMessageError(reason)
--- a/mastledge/transport/errors.py
+++ b/mastledge/transport/errors.py
@@ -19,3 +19,7 @@
     def __init__(self) -> None:
         """Use one text for all cases, so that a log that drops repeats shows it once."""
         super().__init__("no descriptor for one more connection")
+
+
+class IncompleteMessageError(TransportError):
+    """A message from another process is truncated or lacks sockets; the error's text says which."""
