Split the connection hand-off by process: message, exiting side, continuing side

Need: one class held both sides of the hand-off, which share only the message; the next changes touch both. Change: ConnectionHandoff keeps the side that exits, ConnectionTakeover has the side that continues, handed_off_job.py the message. Code moved, nothing else changed; tests follow the names, their checks are as before.

--- a/mastledge/program/dispatcher.py
+++ b/mastledge/program/dispatcher.py
@@ -5,6 +5,7 @@
 import time
 
 from mastledge.program.connection_handoff import ConnectionHandoff
+from mastledge.program.connection_takeover import ConnectionTakeover
 from mastledge.program.excluded_workers import ExcludedWorkers
 from mastledge.program.graceful_shutdown import GracefulShutdown
 from mastledge.program.lifecycle import Lifecycle, Phase
@@ -104,7 +105,8 @@
         self.listener = ClientListener(loop, budget, inbox, connection_settings, log)
         scheduler = Scheduler(settings_for_decisions(settings), configuration["seed"], loop.now())
         self.router = Router(loop, inbox, scheduler, self.workers, self.discovery, log)
-        self.handoff = ConnectionHandoff(loop, budget, self.listener, settings, log)
+        self.handoff = ConnectionHandoff(loop, log)
+        self.takeover = ConnectionTakeover(loop, budget, self.listener, settings, log)
 
     def _add_upgrade_parts(self, configuration, folder):
         # Without an operators' address there are no upgrades and no excluded workers, so nothing to share.
@@ -191,7 +193,7 @@
             self.loop.spawn(self.supervised(self.sibling.watch()), first=True)
         if self.upgrade_state.enabled:
             receiver_path = self.upgrade_state.path_of("jobs", self.upgrade_state.seat)
-            self.loop.spawn(self.handoff.listen(receiver_path))
+            self.loop.spawn(self.takeover.listen(receiver_path))
         for part in (self.fleet, self.idempotency, self.recovery):
             if part is not None:
                 part.begin()
--- a/mastledge/program/graceful_shutdown.py
+++ b/mastledge/program/graceful_shutdown.py
@@ -89,14 +89,14 @@
     def _send_last_answers(self):
         dispatcher, loop, listener = self._dispatcher, self._dispatcher.loop, self._dispatcher.listener
         dispatcher.inbox.put(ShutdownDue())
-        dispatcher.handoff.kill_jobs()
+        dispatcher.takeover.kill_jobs()
         while listener.clients and loop.now() < self._end_at + EXIT_MARGIN_US // 5:
             listener.close_all_idle()
             yield (-1, 0, loop.now() + LAST_ANSWERS_POLL_US)
 
     def _end(self):
         dispatcher = self._dispatcher
-        dispatcher.handoff.stop_listening()
+        dispatcher.takeover.stop_listening()
         dispatcher.enter(Phase.ENDED)
         dispatcher.log("totals", faults=dispatcher.router.faults, **dispatcher.router.job_table.totals)
         if dispatcher.idempotency is not None:
--- a/mastledge/program/reconfiguration.py
+++ b/mastledge/program/reconfiguration.py
@@ -75,7 +75,7 @@
         self.longest_walltime = max(self.longest_walltime, longest_walltime(settings))
         dispatcher.listener.configure(connection_settings)
         dispatcher.workers.configure(settings)
-        dispatcher.handoff.workers.configure(settings)
+        dispatcher.takeover.workers.configure(settings)
         dispatcher.inbox.put(SettingsChanged(settings))
         if settings["follow"] == "pushed":
             dispatcher.discovery.follow()
--- a/tests/form_names.py
+++ b/tests/form_names.py
@@ -26,7 +26,7 @@
 from mastledge.peers import frames as link_frames
 from mastledge.peers import links
 from mastledge.peers.link_context import LinkIdentity
-from mastledge.program import connection_handoff, recovery_peer_poll, replication_frames
+from mastledge.program import connection_handoff, connection_takeover, recovery_peer_poll, replication_frames
 from mastledge.program.fleet_api import json_answer
 from mastledge.program.recovery_clock import RecoveryClock
 from mastledge.program.recovery_persistence import RecoveryPersistence
@@ -351,9 +351,7 @@
     launched_job = SimpleNamespace(exchange=exchange, launches=[launch])
     router = SimpleNamespace(jobs={1: launched_job}, job_handed_off=lambda now, job, launch: None)
     loop = SimpleNamespace(unregister=lambda fd: None, now=lambda: 0, cancel=lambda task: None)
-    handoff = connection_handoff.ConnectionHandoff(
-        loop, None, None, scheduler().settings, lambda event, **fields: None
-    )
+    handoff = connection_handoff.ConnectionHandoff(loop, lambda event, **fields: None)
     try:
         assert handoff.hand_off(router, path) == 1
         raw, socks = descriptor_passing.receive_sockets(inlet, 2)
@@ -369,20 +367,20 @@
     """Return the job that the receiving process gets, in the form that `hand_off_job` takes."""
     rig, jobs = Rig(), []
     listener = SimpleNamespace(serve_resumed=lambda conn, exchange: iter(()))
-    handoff = connection_handoff.ConnectionHandoff(
+    takeover = connection_takeover.ConnectionTakeover(
         rig.loop, rig.budget, listener, scheduler().settings, rig.log
     )
-    handoff.finish = lambda launch, exchange: jobs.append((launch, exchange)) or iter(())
+    takeover.finish = lambda launch, exchange: jobs.append((launch, exchange)) or iter(())
     listening = socket.create_server((HERE, 0))
     ends = [socket.create_connection(listening.getsockname()) for _ in range(2)]
     try:
-        handoff.take_over(raw, ends)
+        takeover.take_over(raw, ends)
         (launch, exchange) = jobs[0]
         assert launch.name == exchange.name
         return {
             "name": exchange.name,
             "kind": exchange.kind,
-            "until": exchange.until + connection_handoff.ANSWER_MARGIN_US,
+            "until": exchange.until + connection_takeover.ANSWER_MARGIN_US,
             "headed": launch.headed,
             "rest": launch.conn.buffer.peek(),
         }
--- a/tests/test_connection_handoff.py
+++ b/tests/test_connection_handoff.py
@@ -90,7 +90,7 @@
     assert figures["svc.in_progress"] == figures["svc.upstream_tries"] == 0
     open_job_pair.client.close()
     assert open_job_pair.turn(
-        lambda: not open_job_pair.new.made.handoff.exchanges
+        lambda: not open_job_pair.new.made.takeover.exchanges
         and not open_job_pair.new.made.listener.jobs.open_jobs
     )
 
@@ -200,8 +200,8 @@
 
 
 def test_too_long_socket_path_disables_the_handoff(open_job_pair, tmp_path):
-    handoff = open_job_pair.new.made.handoff
-    task = open_job_pair.new.made.loop.spawn(handoff.listen(str(tmp_path / ("x" * 200))))
+    takeover = open_job_pair.new.made.takeover
+    task = open_job_pair.new.made.loop.spawn(takeover.listen(str(tmp_path / ("x" * 200))))
     assert open_job_pair.turn(lambda: task.ended) and open_job_pair.logged(
         open_job_pair.new, "handoff_disabled"
     )
@@ -210,7 +210,7 @@
 
 def test_failed_takeover_closes_sockets_and_next_datagram_is_received(open_job_pair, monkeypatch):
     new, sockets = open_job_pair.new.made, socket.socketpair()
-    monkeypatch.setattr(new.handoff, "attached", lambda *arguments: (_ for _ in ()).throw(OSError("reset")))
+    monkeypatch.setattr(new.takeover, "attached", lambda *arguments: (_ for _ in ()).throw(OSError("reset")))
     raw = b'{"name":"x","kind":"render","until":9000000000000,"headed":true,"rest":""}'
     before = dict(new.budget.used)
     descriptor_passing.send_sockets(new.upgrade_state.path_of("jobs", new.upgrade_state.seat), raw, sockets)
