A job is handed off only once the new process has accepted it

What callers saw: at an upgrade no answer for jobs that run more than 3 s after SIGTERM, if the new process was stopped, gone or without a free descriptor in the old one's last 0.5 s. Others were killed for no need: a line of over some 159 KB partly read, with all jobs behind it, and of 400 open jobs those behind the first 276 or 282.

Cause: the old process took a datagram in the receiver's queue for a job taken over and let go of it. The same datagram is bounded by the send buffer, a failed send ended the round for all others, and the queue holds ten, filled every 20 ms.

Why this works: the job is offered on a channel (SOCK_SEQPACKET) with both sockets and an empty file in memory; the old process goes on reading and answering; the new one touches neither socket until the release. The release is sent in one step with a last look that the job can be moved, and what is read and not parsed is in the file by then, at any length. A closed channel withdraws or refuses. An older version has no socket for offers: it gets datagrams of at most 4096 bytes, as it cuts longer ones; a job that does not fit stays and no longer keeps the others. Datagrams of older versions are taken as before.

--- a/mastledge/program/connection_handoff.py
+++ b/mastledge/program/connection_handoff.py
@@ -1,39 +1,177 @@
-"""The connection hand-off: a process that exits passes running jobs to its sibling, with both connections."""
+"""The connection hand-off: a process that exits passes running jobs to its sibling, with both connections.
 
-from mastledge.program.handed_off_job import HandedOffJob
-from mastledge.transport import descriptor_passing
+A job stays here, and is answered here, until the sibling has accepted it (`handed_off_job.py`).
+"""
+
+import os
+
+from mastledge.program.handed_off_job import (
+    ACCEPTED,
+    MAX_DATAGRAM_BYTES,
+    HandedOffJob,
+    HandedOffJobError,
+    JobOffer,
+    JobRelease,
+)
+from mastledge.transport import descriptor_channel, descriptor_passing
 from mastledge.transport.connection import Connection
+from mastledge.transport.errors import TransportError
+
+# Offers open at a time: each needs two more descriptors here, a channel and a file. The least number fits
+# into those that the budget reserves.
+MIN_OPEN_OFFERS, MAX_OPEN_OFFERS = 4, 16
+DESCRIPTORS_PER_OPEN_OFFER = 2
+RETRY_US = 100_000  # before a job is offered again
+MAX_UNMOVABLE_US = 50_000  # after it was accepted; an offer that waits for long would keep others waiting
+NOT_ACCEPTED = "the other process has not accepted in time"
+UNMOVABLE = "a chunk of the answer is partly read, or the client has sent data"
+ENDED_BEFORE_REPLY = "the job ended before the other process replied"
+
+
+class OpenOffer:
+    """An offer that was sent to the sibling process; `accepted_at` is None until it has accepted."""
+
+    __slots__ = ("job", "launch", "channel", "file", "accepted_at")
+
+    def __init__(self, job, launch, channel: descriptor_channel.DescriptorChannel, file: int):
+        """Create an offer that is not accepted; `file` is the descriptor of the file for unparsed bytes."""
+        self.job, self.launch, self.channel, self.file = job, launch, channel, file
+        self.accepted_at: int | None = None
+
+    def check_reply(self, now: int) -> bool:
+        """Return whether the offer is accepted; raise TransportError or HandedOffJobError if refused."""
+        if self.accepted_at is None and (received := self.channel.receive(0)) is not None:
+            if received[0] != ACCEPTED:
+                raise HandedOffJobError(f"unknown reply: {received[0][:40]!r}")
+            self.accepted_at = now
+        return self.accepted_at is not None
+
+    def is_over(self) -> bool:
+        """Return whether the job or the launch has ended in this process."""
+        return self.launch.ended or not self.job.exchange.open
+
+    def send_release(self) -> None:
+        """Pass the bytes not parsed yet, and the job, to the sibling; raise OSError if it stays here."""
+        descriptor_channel.write_memory_file(self.file, self.launch.conn.buffer.peek())
+        self.channel.send(JobRelease(self.launch.headed).encode())
+
+    def close(self) -> None:
+        """Close the channel and the file, which withdraws an offer that was not released."""
+        self.channel.close()
+        os.close(self.file)
 
 
 class ConnectionHandoff:
     """Hands off running jobs to the process that continues."""
 
-    def __init__(self, loop, log):
-        """Create the sending side."""
-        self.loop, self.log = loop, log
+    def __init__(self, loop, budget, log):
+        """Create the sending side; `budget` limits the offers that are open at a time."""
+        self.loop, self.budget, self.log = loop, budget, log
+        self._offers: dict[int, OpenOffer] = {}  # by job id
+        self._retry_at: dict[int, int] = {}  # by the id of a job that could not be handed off
 
-    def hand_off(self, router, path: str) -> int:
-        """Hand off all movable jobs to the process that receives at `path`; return how many."""
-        count = 0
-        for job in list(router.jobs.values()):
+    def hand_off(self, router, offers_path: str, datagrams_path: str) -> int:
+        """Release the jobs that the sibling process has accepted, and offer others; return how many released.
+
+        It listens at `offers_path`, or, in versions without offers, receives at `datagrams_path`. The caller
+        repeats the call: a reply takes some time, and only a few offers are open at a time.
+        """
+        count = self._release_accepted(router)
+        for job in self._jobs_to_offer(router):
             launch = movable_launch(job)
             if launch is None:
                 continue
             try:
-                self._send(job.exchange, launch, path)
+                self._offers[job.id] = self._offer(job, launch, offers_path)
+            except BlockingIOError:
+                break
+            except (FileNotFoundError, ConnectionRefusedError):
+                return count + self.hand_off_by_datagram(router, datagrams_path)
             except OSError as error:
-                self.log("connection_not_handed_off", job=job.exchange.name, why=str(error))
+                self._keep(job, str(error))
+                break
+            if len(self._offers) >= self._max_open_offers():
                 break
-            self._release(router, job, launch)
-            count += 1
         return count
 
-    def _send(self, exchange, launch, path):
-        message = HandedOffJob(
-            exchange.name, exchange.kind, exchange.until, launch.headed, launch.conn.buffer.peek()
-        )
-        sockets = (exchange.conn.sock, launch.conn.sock)
-        descriptor_passing.send_sockets(path, message.encode(), sockets)
+    def has_open_offers(self) -> bool:
+        """Return whether the sibling process has offers that were neither released nor withdrawn."""
+        return bool(self._offers)
+
+    def withdraw(self) -> None:
+        """Withdraw all open offers: their jobs end in this process."""
+        for offer in list(self._offers.values()):
+            self._close(offer, NOT_ACCEPTED if offer.accepted_at is None else UNMOVABLE)
+
+    def _jobs_to_offer(self, router):
+        if len(self._offers) >= self._max_open_offers():
+            return []
+        return self._jobs_to_try(router)
+
+    def _jobs_to_try(self, router):
+        """Return the jobs that are not offered and have not failed to be handed off just now."""
+        now = self.loop.now()
+        return [
+            job
+            for job in router.jobs.values()
+            if job.id not in self._offers and self._retry_at.get(job.id, now) <= now
+        ]
+
+    def _max_open_offers(self):
+        affordable = self.budget.unused_connections() // DESCRIPTORS_PER_OPEN_OFFER
+        return max(MIN_OPEN_OFFERS, min(MAX_OPEN_OFFERS, affordable))
+
+    def _offer(self, job, launch, path):
+        """Return an offer that was sent; raise OSError if there is no listener or no descriptor left."""
+        exchange = job.exchange
+        channel = descriptor_channel.open_channel(self.loop, path)
+        try:
+            file = descriptor_channel.create_memory_file()
+        except OSError:
+            channel.close()
+            raise
+        offer = OpenOffer(job, launch, channel, file)
+        try:
+            message = JobOffer(exchange.name, exchange.kind, exchange.until).encode()
+            channel.send(message, (exchange.conn.fd, launch.conn.fd, file))
+        except OSError:
+            offer.close()
+            raise
+        return offer
+
+    def _release_accepted(self, router):
+        """Release the jobs that were accepted and can be moved now; return how many."""
+        return sum(self._release_if_accepted(router, offer) for offer in list(self._offers.values()))
+
+    def _release_if_accepted(self, router, offer):
+        """Release the job of an offer if it was accepted and can be moved now; return whether it was."""
+        now = self.loop.now()
+        try:
+            accepted = offer.check_reply(now)
+            if offer.is_over():
+                self._close(offer, None if accepted else ENDED_BEFORE_REPLY)
+            elif accepted and movable_launch(offer.job) is offer.launch:
+                offer.send_release()
+                self._close(offer)
+                self._release(router, offer.job, offer.launch)
+                return True
+            elif accepted and now >= offer.accepted_at + MAX_UNMOVABLE_US:
+                self._close(offer, UNMOVABLE)
+        except (OSError, TransportError, HandedOffJobError) as error:
+            self._close(offer, str(error))
+        return False
+
+    def _close(self, offer, reason=None):
+        del self._offers[offer.job.id]
+        offer.close()
+        if reason is not None:
+            self._keep(offer.job, reason)
+
+    def _keep(self, job, reason):
+        """Keep a job for now; log the reason the first time."""
+        if job.id not in self._retry_at:
+            self.log("connection_not_handed_off", job=job.exchange.name, why=reason)
+        self._retry_at[job.id] = self.loop.now() + RETRY_US
 
     def _release(self, router, job, launch):
         for conn in (job.exchange.conn, launch.conn):
@@ -41,6 +179,38 @@
         router.job_handed_off(self.loop.now(), job, launch)
         self.loop.cancel(job.exchange.conn.owner)
 
+    # To versions without offers
+
+    def hand_off_by_datagram(self, router, path: str) -> int:
+        """Hand off all movable jobs to the process that receives at `path`; return how many.
+
+        Such a process does not reply, so each job is released at once. One whose datagram would be cut stays.
+        """
+        count = 0
+        for job in self._jobs_to_try(router):
+            launch = movable_launch(job)
+            if launch is None:
+                continue
+            message = self._datagram(job.exchange, launch)
+            if len(message) > MAX_DATAGRAM_BYTES:
+                self._keep(job, f"its datagram has {len(message)} bytes, over {MAX_DATAGRAM_BYTES}")
+                continue
+            try:
+                sockets = (job.exchange.conn.sock, launch.conn.sock)
+                descriptor_passing.send_sockets(path, message, sockets)
+            except BlockingIOError:
+                break
+            except OSError as error:
+                self._keep(job, str(error))
+                break
+            self._release(router, job, launch)
+            count += 1
+        return count
+
+    def _datagram(self, exchange, launch):
+        rest = launch.conn.buffer.peek()
+        return HandedOffJob(exchange.name, exchange.kind, exchange.until, launch.headed, rest).encode()
+
 
 def movable_launch(job):
     """Return the only running launch of a job if another process can continue it, otherwise None."""
--- a/mastledge/program/connection_takeover.py
+++ b/mastledge/program/connection_takeover.py
@@ -3,22 +3,40 @@
 This process does not schedule these jobs again: a job whose launch fails is killed.
 """
 
+import os
+import socket
+
 import h11
 
-from mastledge.program.handed_off_job import SOCKETS_PER_JOB, HandedOffJob, HandedOffJobError
+from mastledge.program.handed_off_job import (
+    ACCEPTED,
+    DESCRIPTORS_PER_OFFER,
+    SOCKETS_PER_JOB,
+    HandedOffJob,
+    HandedOffJobError,
+    JobOffer,
+    JobRelease,
+)
 from mastledge.protocol import http
 from mastledge.protocol.errors import BodyTooLargeError
 from mastledge.protocol.requests import Exchange
 from mastledge.protocol.worker_connections import WorkerConnections
-from mastledge.transport import descriptor_passing
+from mastledge.transport import descriptor_channel, descriptor_passing
+from mastledge.transport.budget import SHORTAGE_EVICTION_ORDER
 from mastledge.transport.connection import Connection
-from mastledge.transport.errors import IncompleteMessageError, WaitTimeoutError
+from mastledge.transport.errors import (
+    ChannelClosedError,
+    IncompleteMessageError,
+    TransportError,
+    WaitTimeoutError,
+)
 from mastledge.transport.loop import READ
 
 # A job is killed this long before its answer is due: the process may be held up for this long between the
 # expiry of the timer and the write of the answer. The scheduler does not handle these jobs.
 ANSWER_MARGIN_US = 150_000
 MAX_JOBS_PER_TURN = 16
+SHORTAGE_PAUSE_US = 20_000  # before the next offer is accepted when descriptors are exhausted
 
 
 class HandedOffLaunch:
@@ -39,7 +57,10 @@
 
 
 class ConnectionTakeover:
-    """Receives the jobs that the other process hands off, and finishes them."""
+    """Receives the jobs that the other process hands off, and finishes them.
+
+    Jobs come on channels, or as datagrams from versions without offers.
+    """
 
     def __init__(self, loop, budget, listener, settings: dict, log):
         """Create the receiving side; `listener` answers the clients of the jobs."""
@@ -47,13 +68,71 @@
         self.workers = WorkerConnections(loop, budget, DiscardingInbox(), settings, log)
         self.exchanges = set()  # exchanges of taken-over jobs that have not ended
         self._receiver = self._receiver_path = None
+        self._listener = self._listener_path = None
+        self._exiting = False
+
+    # Offers
+
+    def listen_for_offers(self, path: str):
+        """Coroutine: accept the jobs that are offered at `path`, and take over those that are released."""
+        try:
+            self._listener, self._listener_path = descriptor_channel.listen_for_channels(path), path
+        except OSError as error:
+            # For example a folder that is not writable; jobs that outlast the old process then end with it.
+            self.log("handoff_disabled", why=str(error))
+            return
+        while True:
+            yield (self._listener.fileno(), READ, None)
+            try:
+                self._accept_channels()
+            except OSError as error:
+                self.log("connection_not_received", why=str(error))
+                self.budget.evict(*SHORTAGE_EVICTION_ORDER)
+                yield (-1, 0, self.loop.now() + SHORTAGE_PAUSE_US)
+
+    def _accept_channels(self):
+        for _ in range(MAX_JOBS_PER_TURN):
+            try:
+                sock, _ = self._listener.accept()
+            except BlockingIOError:
+                return
+            channel = descriptor_channel.DescriptorChannel(self.loop, sock)
+            self.loop.spawn(self._receive_offer(channel))
+
+    def _receive_offer(self, channel):
+        """Coroutine: accept the offer on a channel, and take over its job once it is released."""
+        connections, file = [], -1
+        try:
+            message, descriptors = yield from channel.wait_for_message(DESCRIPTORS_PER_OFFER)
+            file = descriptors.pop()
+            connections = self._attach_all([socket.socket(fileno=descriptor) for descriptor in descriptors])
+            offer = JobOffer.decode(message)
+            if self._exiting:
+                return
+            channel.send(ACCEPTED)
+            message, _ = yield from channel.wait_for_message(0)
+            release, rest = JobRelease.decode(message), descriptor_channel.read_memory_file(file)
+            job = HandedOffJob(offer.name, offer.kind, offer.until, release.headed, rest)
+            taken, connections = connections, []
+            self._start(job, *taken)
+        except ChannelClosedError:
+            return  # the job has ended in the other process, or ends there
+        except (OSError, TransportError, HandedOffJobError) as error:
+            self.log("connection_not_received", why=str(error))
+        finally:
+            channel.close()
+            for connection in connections:
+                connection.close()
+            if file >= 0:
+                os.close(file)
+
+    # Datagrams
 
     def listen(self, path: str):
-        """Coroutine: take over the jobs that are sent to `path`."""
+        """Coroutine: take over the jobs that are sent to `path` by versions without offers."""
         try:
             self._receiver, self._receiver_path = descriptor_passing.open_receiver(path), path
         except OSError as error:
-            # For example a folder that is not writable; jobs that outlast the old process then end with it.
             self.log("handoff_disabled", why=str(error))
             return
         while True:
@@ -74,13 +153,6 @@
         self.take_over(*received)
         return True
 
-    def stop_listening(self) -> None:
-        """Remove the socket that receives jobs, as this process exits."""
-        if self._receiver is not None:
-            self.loop.forget(self._receiver.fileno())
-            descriptor_passing.close_receiver(self._receiver, self._receiver_path)
-            self._receiver = None
-
     def take_over(self, raw: bytes, sockets) -> None:
         """Continue the job in a datagram; close its sockets if that is not possible."""
         try:
@@ -88,14 +160,10 @@
         except HandedOffJobError as error:
             self._refuse(sockets, str(error))
             return
-        connections = []
         try:
-            for sock, kind, role in zip(
-                sockets, ("clients", "workers"), (h11.SERVER, h11.CLIENT), strict=True
-            ):
-                connections.append(self.attached(sock, kind, role))
+            connections = self._attach_all(sockets)
         except OSError as error:
-            self._refuse((*connections, *sockets), str(error))
+            self._refuse((), str(error))
             return
         self._start(job, *connections)
 
@@ -104,6 +172,30 @@
         for closable in closables:
             closable.close()
 
+    # Jobs
+
+    def stop_listening(self) -> None:
+        """Remove the sockets that receive jobs, as this process exits."""
+        for opened, path in ((self._receiver, self._receiver_path), (self._listener, self._listener_path)):
+            if opened is not None:
+                self.loop.forget(opened.fileno())
+                descriptor_passing.close_receiver(opened, path)
+        self._receiver = self._listener = None
+
+    def _attach_all(self, sockets):
+        """Return the connections for the sockets of client and worker; close all and raise OSError if not."""
+        connections = []
+        try:
+            for sock, kind, role in zip(
+                sockets, ("clients", "workers"), (h11.SERVER, h11.CLIENT), strict=True
+            ):
+                connections.append(self.attached(sock, kind, role))
+        except OSError:
+            for closable in (*connections, *sockets):
+                closable.close()
+            raise
+        return connections
+
     def attached(self, sock, kind: str, role) -> Connection:
         """Return a connection for a received socket; raise OSError if the event loop cannot watch it."""
         # May exceed the budget briefly: the sending process closes its copy at once.
@@ -122,6 +214,8 @@
         exchange.answer = lambda *answer: self.loop.wake(client.owner, answer)
         exchange.job = self.loop.spawn(self.finish(launch, exchange))
         self.log("connection_received", job=exchange.name)
+        if self._exiting:
+            self._kill(exchange)
 
     def finish(self, launch: HandedOffLaunch, exchange: Exchange):
         """Coroutine: read the worker's answer and answer the client."""
@@ -139,7 +233,11 @@
             exchange.killed()
 
     def kill_jobs(self) -> None:
-        """Kill all jobs that were taken over, as this process exits too."""
+        """Kill all jobs that were taken over, as this process exits too; accept no further offers."""
+        self._exiting = True
         for exchange in list(self.exchanges):
-            exchange.killed()
-            self.loop.cancel(exchange.job)
+            self._kill(exchange)
+
+    def _kill(self, exchange):
+        exchange.killed()
+        self.loop.cancel(exchange.job)
--- a/mastledge/program/dispatcher.py
+++ b/mastledge/program/dispatcher.py
@@ -105,7 +105,7 @@
         self.listener = ClientListener(loop, budget, inbox, connection_settings, log)
         scheduler = Scheduler(settings_for_decisions(settings), configuration["seed"], loop.now())
         self.router = Router(loop, inbox, scheduler, self.workers, self.discovery, log)
-        self.handoff = ConnectionHandoff(loop, log)
+        self.handoff = ConnectionHandoff(loop, budget, log)
         self.takeover = ConnectionTakeover(loop, budget, self.listener, settings, log)
 
     def _add_upgrade_parts(self, configuration, folder):
@@ -192,8 +192,9 @@
             self.loop.spawn(self.control.listen(self.control_socket), first=True)
             self.loop.spawn(self.supervised(self.sibling.watch()), first=True)
         if self.upgrade_state.enabled:
-            receiver_path = self.upgrade_state.path_of("jobs", self.upgrade_state.seat)
-            self.loop.spawn(self.takeover.listen(receiver_path))
+            state = self.upgrade_state
+            self.loop.spawn(self.takeover.listen_for_offers(state.path_of("offers", state.seat)))
+            self.loop.spawn(self.takeover.listen(state.path_of("jobs", state.seat)))
         for part in (self.fleet, self.idempotency, self.recovery):
             if part is not None:
                 part.begin()
--- a/mastledge/program/graceful_shutdown.py
+++ b/mastledge/program/graceful_shutdown.py
@@ -11,6 +11,7 @@
 KEEP_IDLE_WITH_SUCCESSOR_US = 1_000_000  # idle connections are closed later than the listener
 HAND_OFF_BEFORE_END_US = 500_000  # jobs that still run this long before the end go to the successor
 POLL_US = 20_000
+HAND_OFF_POLL_US = 5_000  # while jobs are handed off, which takes two polls each
 LAST_ANSWERS_POLL_US = 5_000
 
 
@@ -77,14 +78,19 @@
                 dispatcher.release_data_directories()
             if loop.now() >= self._close_idle_from:
                 listener.close_all_idle()
-            if listener.has_successor and loop.now() >= self._end_at - HAND_OFF_BEFORE_END_US:
+            hands_off = listener.has_successor and loop.now() >= self._end_at - HAND_OFF_BEFORE_END_US
+            if hands_off:
                 self._hand_off_jobs()
-            yield (-1, 0, loop.now() + POLL_US)
+            yield (-1, 0, loop.now() + (HAND_OFF_POLL_US if hands_off else POLL_US))
+        dispatcher.handoff.withdraw()
 
     def _hand_off_jobs(self):
-        state = self._dispatcher.upgrade_state
+        dispatcher, state = self._dispatcher, self._dispatcher.upgrade_state
         if state.sibling_ready():
-            self._dispatcher.handoff.hand_off(self._dispatcher.router, state.path_of("jobs", 1 - state.seat))
+            seat = 1 - state.seat
+            dispatcher.handoff.hand_off(
+                dispatcher.router, state.path_of("offers", seat), state.path_of("jobs", seat)
+            )
 
     def _send_last_answers(self):
         dispatcher, loop, listener = self._dispatcher, self._dispatcher.loop, self._dispatcher.listener
--- a/mastledge/transport/budget.py
+++ b/mastledge/transport/budget.py
@@ -70,6 +70,10 @@
         self.used[kind] += 1
         return True
 
+    def unused_connections(self) -> int:
+        """Return how many more connections fit into all limits together, at least 0."""
+        return max(0, sum(self.limits.values()) - sum(self.used.values()))
+
     def release(self, kind: str) -> None:
         """Release a connection reserved by `acquire`."""
         self.used[kind] -= 1
--- a/mastledge/transport/descriptor_passing.py
+++ b/mastledge/transport/descriptor_passing.py
@@ -35,7 +35,12 @@
 
 def open_receiver(path: str) -> socket.socket:
     """Open the socket that receives the messages; raise OSError if the path cannot be bound."""
-    sock = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
+    return bind_unix_socket(path, socket.SOCK_DGRAM)
+
+
+def bind_unix_socket(path: str, kind: socket.SocketKind) -> socket.socket:
+    """Return a socket bound to `path`, in place of one left there; raise OSError if it cannot be bound."""
+    sock = socket.socket(socket.AF_UNIX, kind)
     try:
         sock.setblocking(False)
         with contextlib.suppress(FileNotFoundError):
@@ -68,21 +73,30 @@
 def receive_sockets(receiver: socket.socket, count: int) -> tuple[bytes, list[socket.socket]] | None:
     """Return the next message and its `count` sockets, or None if there is no message.
 
-    If the message is truncated or lacks sockets, close those received and raise IncompleteMessageError.
+    Raise IncompleteMessageError if the message is truncated or lacks sockets.
     """
     try:
-        message, fds, flags, _ = socket.recv_fds(receiver, MAX_MESSAGE_BYTES, count)
+        message, descriptors = receive_descriptors(receiver, count)
     except BlockingIOError:
         return None
-    sockets = [socket.socket(fileno=fd) for fd in fds]
+    return message, [socket.socket(fileno=descriptor) for descriptor in descriptors]
+
+
+def receive_descriptors(sock: socket.socket, count: int) -> tuple[bytes, list[int]]:
+    """Return the next message and its `count` descriptors; (b"", []) at the end of a connection.
+
+    Raise BlockingIOError if there is no message. If the message is truncated or lacks descriptors, close
+    those received and raise IncompleteMessageError.
+    """
+    message, descriptors, flags, _ = socket.recv_fds(sock, MAX_MESSAGE_BYTES, count)
     reason = None
     if flags & socket.MSG_TRUNC:
         reason = f"the message is longer than {MAX_MESSAGE_BYTES} bytes"
-    elif len(sockets) != count or flags & socket.MSG_CTRUNC:
-        # The kernel drops the sockets for which this process has no free descriptor.
-        reason = f"the message brought {len(sockets)} sockets in place of {count}"
+    elif message and len(descriptors) != count or flags & socket.MSG_CTRUNC:
+        # The kernel drops the descriptors for which this process has none free.
+        reason = f"the message brought {len(descriptors)} descriptors in place of {count}"
     if reason is None:
-        return message, sockets
-    for received_socket in sockets:
-        received_socket.close()
+        return message, list(descriptors)
+    for descriptor in descriptors:
+        os.close(descriptor)
     raise IncompleteMessageError(reason)
--- a/mastledge/transport/errors.py
+++ b/mastledge/transport/errors.py
@@ -22,4 +22,8 @@
 
 
 class IncompleteMessageError(TransportError):
-    """A message from another process is truncated or lacks sockets; the error's text says which."""
+    """A message from another process is truncated or lacks descriptors; the error's text says which."""
+
+
+class ChannelClosedError(TransportError):
+    """The other process has closed a channel or has died."""
--- a/tests/forms.py
+++ b/tests/forms.py
@@ -244,6 +244,7 @@
         "journal-records": produced(),
         "snapshots": snapshots_of(),
         "handover": handed_over(directory / "handover"),
+        "offers": program.offer_messages(samples.JOBS["a job in the midst of its answer"]),
         "balance-messages": {
             label: {"bytes": program.load_message(*message)}
             for label, message in samples.BALANCE_MESSAGES.items()
--- a/tests/test_stored_and_wire_forms.py
+++ b/tests/test_stored_and_wire_forms.py
@@ -332,6 +332,15 @@
     assert program.hand_off_job(tmp_path, taken_job) == raw
 
 
+def test_offered_job_round_trips():
+    raw = {label: fixture["bytes"] for label, fixture in forms.load("offers").items()}
+    job = program.read_offer_messages(raw["offer"], raw["release"])
+    sample = samples.JOBS["a job in the midst of its answer"]
+    assert sample == {**job, "rest": sample["rest"]}
+    written = program.offer_messages(job)
+    assert {label: fixture["bytes"] for label, fixture in written.items()} == raw
+
+
 def test_each_file_and_datagram_between_sibling_processes_has_its_test():
     assert set(forms.load("handover")) == {
         *FILES,
@@ -412,6 +421,7 @@
         "journal-records",
         "snapshots",
         "handover",
+        "offers",
         "balance-messages",
         "adapter",
     }
