A job whose release the new process never reads is taken back

What callers saw: no answer, for jobs that the old process had just let go of when the new one was killed amid the hand-off.

Cause: the release is a message like any other; written is not read.

Why this works: the new process closes the channel once it has read the release. The kernel resets a channel that is closed with a message unread (ECONNRESET, af_unix), so the old process, which keeps duplicates of both sockets until then, can tell which of the two happened. After a reset nobody else has the job, and the old one reads the answer to its end as for any job taken over, or kills it at its own end. Without either it leaves the job to the new process, which may be stopped and reads the release when it is continued.

Tests: test_job_is_taken_back_if_the_sibling_dies_before_it_reads_the_release (the version before has nothing that takes a job back: its client is closed on), test_released_job_is_left_to_a_sibling_that_has_not_read_the_release.

--- a/mastledge/program/connection_handoff.py
+++ b/mastledge/program/connection_handoff.py
@@ -4,6 +4,8 @@
 """
 
 import os
+import socket
+from collections.abc import Callable, Sequence
 
 from mastledge.program.handed_off_job import (
     ACCEPTED,
@@ -15,7 +17,12 @@
 )
 from mastledge.transport import descriptor_channel, descriptor_passing
 from mastledge.transport.connection import Connection
-from mastledge.transport.errors import TransportError
+from mastledge.transport.errors import (
+    ChannelClosedError,
+    ChannelResetError,
+    IncompleteMessageError,
+    TransportError,
+)
 
 # Offers open at a time: each needs two more descriptors here, a channel and a file. The least number fits
 # into those that the budget reserves.
@@ -50,10 +57,23 @@
         """Return whether the job or the launch has ended in this process."""
         return self.launch.ended or not self.job.exchange.open
 
-    def send_release(self) -> None:
-        """Pass the bytes not parsed yet, and the job, to the sibling; raise OSError if it stays here."""
-        descriptor_channel.write_memory_file(self.file, self.launch.conn.buffer.peek())
-        self.channel.send(JobRelease(self.launch.headed).encode())
+    def release(self) -> "ReleasedJob":
+        """Pass the bytes not parsed yet, and the job, to the sibling; raise OSError if the job stays here.
+
+        The channel belongs to the returned job.
+        """
+        exchange, headed, rest = self.job.exchange, self.launch.headed, self.launch.conn.buffer.peek()
+        descriptor_channel.write_memory_file(self.file, rest)
+        sockets = [conn.sock.dup() for conn in (exchange.conn, self.launch.conn)]
+        try:
+            self.channel.send(JobRelease(headed).encode())
+        except OSError:
+            for sock in sockets:
+                sock.close()
+            raise
+        os.close(self.file)
+        job = HandedOffJob(exchange.name, exchange.kind, exchange.until, headed, rest)
+        return ReleasedJob(job, sockets, self.channel)
 
     def close(self) -> None:
         """Close the channel and the file, which withdraws an offer that was not released."""
@@ -61,13 +81,55 @@
         os.close(self.file)
 
 
+class ReleasedJob:
+    """A job that was released; the sibling process may not have read the release yet."""
+
+    __slots__ = ("job", "sockets", "_channel")
+
+    def __init__(
+        self,
+        job: HandedOffJob,
+        sockets: Sequence[socket.socket],
+        channel: descriptor_channel.DescriptorChannel,
+    ):
+        """Take ownership of duplicates of the job's sockets and of its channel."""
+        self.job, self.sockets, self._channel = job, sockets, channel
+
+    def is_confirmed(self) -> bool:
+        """Return whether the sibling has the job; raise ChannelResetError if it will never have it."""
+        try:
+            self._channel.receive(0)
+        except ChannelResetError:
+            raise
+        except ChannelClosedError:
+            return True
+        except IncompleteMessageError:
+            pass  # the sibling is alive, as it has sent a message
+        return False
+
+    def close(self, keep_sockets: bool = False) -> None:
+        """Close the channel and, unless they are kept, the sockets."""
+        self._channel.close()
+        if not keep_sockets:
+            for sock in self.sockets:
+                sock.close()
+
+
 class ConnectionHandoff:
     """Hands off running jobs to the process that continues."""
 
-    def __init__(self, loop, budget, log):
-        """Create the sending side; `budget` limits the offers that are open at a time."""
+    def __init__(
+        self, loop, budget, continue_job: Callable[[HandedOffJob, Sequence[socket.socket]], None], log
+    ):
+        """Create the sending side.
+
+        `budget` limits the offers that are open at a time; `continue_job` finishes a job in this process that
+        the sibling has not taken after its release.
+        """
         self.loop, self.budget, self.log = loop, budget, log
+        self._continue_job = continue_job
         self._offers: dict[int, OpenOffer] = {}  # by job id
+        self._unconfirmed: list[ReleasedJob] = []
         self._retry_at: dict[int, int] = {}  # by the id of a job that could not be handed off
 
     def hand_off(self, router, offers_path: str, datagrams_path: str) -> int:
@@ -90,7 +152,7 @@
             except OSError as error:
                 self._keep(job, str(error))
                 break
-            if len(self._offers) >= self._max_open_offers():
+            if not self._may_offer():
                 break
         return count
 
@@ -98,13 +160,35 @@
         """Return whether the sibling process has offers that were neither released nor withdrawn."""
         return bool(self._offers)
 
+    def has_unconfirmed(self) -> bool:
+        """Return whether the sibling process may have died before it read the release of a job."""
+        return bool(self._unconfirmed)
+
+    def confirm_released(self) -> None:
+        """Drop the released jobs that the sibling process has, and take back those it will not have."""
+        unconfirmed, self._unconfirmed = self._unconfirmed, []
+        for released in unconfirmed:
+            try:
+                if released.is_confirmed():
+                    released.close()
+                else:
+                    self._unconfirmed.append(released)
+            except ChannelResetError as error:
+                self.log("connection_not_handed_off", job=released.job.name, why=str(error))
+                released.close(keep_sockets=True)
+                self._continue_job(released.job, released.sockets)
+
     def withdraw(self) -> None:
-        """Withdraw all open offers: their jobs end in this process."""
+        """Withdraw all open offers: their jobs end here. Released jobs are left to the sibling."""
+        self.confirm_released()
+        for released in self._unconfirmed:
+            released.close()
+        self._unconfirmed = []
         for offer in list(self._offers.values()):
             self._close(offer, NOT_ACCEPTED if offer.accepted_at is None else UNMOVABLE)
 
     def _jobs_to_offer(self, router):
-        if len(self._offers) >= self._max_open_offers():
+        if not self._may_offer():
             return []
         return self._jobs_to_try(router)
 
@@ -117,9 +201,10 @@
             if job.id not in self._offers and self._retry_at.get(job.id, now) <= now
         ]
 
-    def _max_open_offers(self):
+    def _may_offer(self):
         affordable = self.budget.unused_connections() // DESCRIPTORS_PER_OPEN_OFFER
-        return max(MIN_OPEN_OFFERS, min(MAX_OPEN_OFFERS, affordable))
+        max_open = max(MIN_OPEN_OFFERS, min(MAX_OPEN_OFFERS, affordable))
+        return len(self._offers) + len(self._unconfirmed) < max_open
 
     def _offer(self, job, launch, path):
         """Return an offer that was sent; raise OSError if there is no listener or no descriptor left."""
@@ -151,8 +236,8 @@
             if offer.is_over():
                 self._close(offer, None if accepted else ENDED_BEFORE_REPLY)
             elif accepted and movable_launch(offer.job) is offer.launch:
-                offer.send_release()
-                self._close(offer)
+                self._unconfirmed.append(offer.release())
+                del self._offers[offer.job.id]
                 self._release(router, offer.job, offer.launch)
                 return True
             elif accepted and now >= offer.accepted_at + MAX_UNMOVABLE_US:
--- a/mastledge/program/connection_takeover.py
+++ b/mastledge/program/connection_takeover.py
@@ -160,6 +160,10 @@
         except HandedOffJobError as error:
             self._refuse(sockets, str(error))
             return
+        self.continue_job(job, sockets)
+
+    def continue_job(self, job: HandedOffJob, sockets) -> None:
+        """Read the worker's answer to its end and answer the client; close the sockets if not possible."""
         try:
             connections = self._attach_all(sockets)
         except OSError as error:
--- a/mastledge/program/dispatcher.py
+++ b/mastledge/program/dispatcher.py
@@ -105,8 +105,8 @@
         self.listener = ClientListener(loop, budget, inbox, connection_settings, log)
         scheduler = Scheduler(settings_for_decisions(settings), configuration["seed"], loop.now())
         self.router = Router(loop, inbox, scheduler, self.workers, self.discovery, log)
-        self.handoff = ConnectionHandoff(loop, budget, log)
         self.takeover = ConnectionTakeover(loop, budget, self.listener, settings, log)
+        self.handoff = ConnectionHandoff(loop, budget, self.takeover.continue_job, log)
 
     def _add_upgrade_parts(self, configuration, folder):
         # Without an operators' address there are no upgrades and no excluded workers, so nothing to share.
--- a/mastledge/program/graceful_shutdown.py
+++ b/mastledge/program/graceful_shutdown.py
@@ -73,7 +73,7 @@
 
     def _finish_jobs(self):
         dispatcher, loop, listener = self._dispatcher, self._dispatcher.loop, self._dispatcher.listener
-        while listener.clients and loop.now() < self._end_at:
+        while self._has_open_jobs() and loop.now() < self._end_at:
             if listener.has_successor:
                 dispatcher.release_data_directories()
             if loop.now() >= self._close_idle_from:
@@ -84,8 +84,12 @@
             yield (-1, 0, loop.now() + (HAND_OFF_POLL_US if hands_off else POLL_US))
         dispatcher.handoff.withdraw()
 
+    def _has_open_jobs(self):
+        return self._dispatcher.listener.clients or self._dispatcher.handoff.has_unconfirmed()
+
     def _hand_off_jobs(self):
         dispatcher, state = self._dispatcher, self._dispatcher.upgrade_state
+        dispatcher.handoff.confirm_released()
         if state.sibling_ready():
             seat = 1 - state.seat
             dispatcher.handoff.hand_off(
--- a/mastledge/program/handed_off_job.py
+++ b/mastledge/program/handed_off_job.py
@@ -7,6 +7,8 @@
 2. `ACCEPTED` in the other direction. A closed channel refuses the job.
 3. `JobRelease`, after the bytes of the answer that were received and not parsed yet were written to the file.
    The job belongs to the other process from then on. A closed channel withdraws the offer.
+4. The other process closes the channel once it has read the release. If it dies before, the channel is
+   reset, and the job belongs to the process that exits again.
 
 Versions without offers have one datagram for a job, `HandedOffJob`.
 """
--- a/mastledge/transport/descriptor_channel.py
+++ b/mastledge/transport/descriptor_channel.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 
 from mastledge.transport.descriptor_passing import bind_unix_socket, receive_descriptors, unix_address
-from mastledge.transport.errors import ChannelClosedError
+from mastledge.transport.errors import ChannelClosedError, ChannelResetError
 from mastledge.transport.loop import READ, Coroutine, Loop
 
 BACKLOG = 64
@@ -35,13 +35,16 @@
     def receive(self, count: int) -> tuple[bytes, list[int]] | None:
         """Return the next message with its `count` descriptors, or None if there is none yet.
 
-        Raise ChannelClosedError if the other process has closed the channel, IncompleteMessageError if the
-        message is truncated or lacks descriptors.
+        Raise ChannelClosedError if the other process has closed the channel, ChannelResetError if it has done
+        so before it read all messages, IncompleteMessageError if the message is truncated or lacks
+        descriptors.
         """
         try:
             message, descriptors = receive_descriptors(self._sock, count)
         except BlockingIOError:
             return None
+        except ConnectionResetError as error:
+            raise ChannelResetError(str(error)) from None
         except OSError as error:
             raise ChannelClosedError(str(error)) from None
         if not message:
--- a/mastledge/transport/errors.py
+++ b/mastledge/transport/errors.py
@@ -27,3 +27,7 @@
 
 class ChannelClosedError(TransportError):
     """The other process has closed a channel or has died."""
+
+
+class ChannelResetError(ChannelClosedError):
+    """The other process has closed a channel, or has died, before it read the last message from here."""
--- a/tests/form_names.py
+++ b/tests/form_names.py
@@ -357,7 +357,7 @@
     launched_job = SimpleNamespace(id=1, exchange=exchange, launches=[launch])
     router = SimpleNamespace(jobs={1: launched_job}, job_handed_off=lambda now, job, launch: None)
     loop = SimpleNamespace(unregister=lambda fd: None, now=lambda: 0, cancel=lambda task: None)
-    handoff = connection_handoff.ConnectionHandoff(loop, None, lambda event, **fields: None)
+    handoff = connection_handoff.ConnectionHandoff(loop, None, None, lambda event, **fields: None)
     try:
         assert handoff.hand_off_by_datagram(router, path) == 1
         raw, socks = descriptor_passing.receive_sockets(inlet, 2)
--- a/tests/test_connection_handoff.py
+++ b/tests/test_connection_handoff.py
@@ -245,6 +245,40 @@
     assert not open_job_pair.old.rig.errors
 
 
+@pytest.mark.parametrize("done", [True, False])
+def test_job_is_taken_back_if_the_sibling_dies_before_it_reads_the_release(done, open_job_pair):
+    # Guards against a client without an answer: a new process that is killed closes what it has not read.
+    old, sibling = open_job_pair.old, ScriptedSibling(open_job_pair)
+    open_job_pair.worker.sendall(CHUNKED + chunk("started") + b'15\r\n{"id":"c1","state":"d\r\n')
+    open_job_pair.stop_old(sibling.has_offer)
+    sibling.channels[0].send(handed_off_job.ACCEPTED)
+    assert open_job_pair.turn(lambda: open_job_pair.logged(old, "job_finished"))
+    assert not open_job_pair.turn(lambda: open_job_pair.logged(old, "connection_received"), 50_000)
+    sibling.close()
+    assert open_job_pair.turn(lambda: open_job_pair.logged(old, "connection_received"))
+    if done:
+        open_job_pair.worker.sendall(b'13\r\none","result":"r"}\n\r\n0\r\n\r\n')
+    reply = old.rig.reply(open_job_pair.client)
+    assert reply.startswith(b"HTTP/1.1 200" if done else b"HTTP/1.1 500")
+    assert reply.endswith(b"\r\n\r\nr") == done
+    assert open_job_pair.turn(lambda: old.made.phase == "ended")
+    assert not old.rig.errors
+
+
+def test_released_job_is_left_to_a_sibling_that_has_not_read_the_release(open_job_pair):
+    # Guards against two answers: a new process that is stopped reads the release when it is continued.
+    old, sibling = open_job_pair.old, ScriptedSibling(open_job_pair)
+    open_job_pair.stop_old(sibling.has_offer)
+    sibling.channels[0].send(handed_off_job.ACCEPTED)
+    assert open_job_pair.turn(lambda: old.made.phase == "ended", 3_000_000)
+    release, _ = sibling.channels[0].receive(0)
+    assert handed_off_job.JobRelease.decode(release) == handed_off_job.JobRelease(False)
+    assert not has_ended(open_job_pair.client)
+    sibling.close()
+    assert open_job_pair.turn(lambda: has_ended(open_job_pair.client))
+    assert not old.rig.errors
+
+
 def test_job_that_ends_while_it_is_offered_is_answered_once(open_job_pair):
     # Guards against a second answer: a slow sibling reads the offer of a job that has ended meanwhile.
     old, new, before = open_job_pair.old, open_job_pair.new, dict(open_job_pair.new.made.budget.used)
