--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -89,6 +89,24 @@
     return (i % 2 if zone is None else zone, i, state, born, 0, 0, 1.0)
 
 
+def known_workers(*ports):
+    """Return a list of workers, `s-1` and so on, at these ports."""
+    instances = [
+        {
+            "instanceId": f"s-{number}",
+            "hostPort": f"{HERE}:{port}",
+            "zone": "z",
+            "machineType": "k",
+            "cell": 0,
+            "lifecycle": "ready",
+            "weight": 1.0,
+            "startedAtMs": 0,
+        }
+        for number, port in enumerate(ports, 1)
+    ]
+    return {"generation": 1, "reset": True, "instances": instances}
+
+
 def arrive(dispatcher, now=0, job=1, queue_number=0, hint=100_000, patience=5_000_000, width=1.0, tenant=0):
     dispatcher.job_arrived(now, job, queue_number, hint, 0, width, 0.0, tenant, patience)
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -7,7 +7,7 @@
 
 import helpers
 import pytest
-from helpers import HERE, Rig, entry, peer_at, scheduler
+from helpers import HERE, Rig, entry, known_workers, peer_at, scheduler
 from test_program import file
 
 from mastledge.program import dispatcher, serving
@@ -36,26 +36,7 @@
 
     def __init__(self, path, ready=True, folder=None, **changed):
         peer, self.sock = peer_at()
-        known = (
-            {
-                "generation": 1,
-                "reset": True,
-                "instances": [
-                    {
-                        "instanceId": "s-1",
-                        "hostPort": f"{HERE}:{peer.address[1]}",
-                        "zone": "z",
-                        "machineType": "k",
-                        "cell": 0,
-                        "lifecycle": "ready",
-                        "weight": 1.0,
-                        "startedAtMs": 0,
-                    }
-                ],
-            }
-            if ready
-            else {}
-        )
+        known = known_workers(peer.address[1]) if ready else {}
         document = {
             "listen": free(),
             "control": free(),
--- a/tests/test_handoff_processes.py
+++ b/tests/test_handoff_processes.py
@@ -9,11 +9,11 @@
 
 import helpers
 import pytest
-from helpers import HERE
+from helpers import HERE, known_workers
 from test_connection_handoff import CHUNKED, ENDED_WITH_THE_PROCESS
 from test_control import free
 from test_program import GOOD
-from test_upgrade import http_status, known_workers, start_process, wait_until
+from test_upgrade import http_status, start_process, wait_until
 
 from mastledge.transport.listening import listen
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -10,7 +10,7 @@
 import helpers
 import orjson
 import pytest
-from helpers import HERE, Rig, peer_at, queue_type, scheduler, workers
+from helpers import HERE, Rig, known_workers, peer_at, queue_type, scheduler, workers
 
 from mastledge.command_line import main
 from mastledge.program import graceful_shutdown, serving
@@ -355,22 +355,7 @@
     free_socket = listen((HERE, 0))
     address = f"{HERE}:{free_socket.getsockname()[1]}"
     free_socket.close()
-    known = {
-        "generation": 1,
-        "reset": True,
-        "instances": [
-            {
-                "instanceId": "s-1",
-                "hostPort": f"{HERE}:{peer.address[1]}",
-                "zone": "z",
-                "machineType": "k",
-                "cell": 0,
-                "lifecycle": "ready",
-                "weight": 1.0,
-                "startedAtMs": 0,
-            }
-        ],
-    }
+    known = known_workers(peer.address[1])
     rig = Rig()
     # The scheduler gives up two steps before the end: a short pause of the machine must not skip both.
     settings = {**GOOD["settings"], "stepMs": 40.0}
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -13,7 +13,7 @@
 
 import orjson
 import pytest
-from helpers import HERE, Rig, arrive, entry, pull, scheduler
+from helpers import HERE, Rig, arrive, entry, known_workers, pull, scheduler
 from test_control import Served, free
 from test_program import arrive_job, file, router_with_workers
 
@@ -384,24 +384,6 @@
 # Whole processes
 
 
-def known_workers(*ports):
-    """Return a list of workers, `s-1` and so on, at these ports."""
-    instances = [
-        {
-            "instanceId": f"s-{number}",
-            "hostPort": f"{HERE}:{port}",
-            "zone": "z",
-            "machineType": "k",
-            "cell": 0,
-            "lifecycle": "ready",
-            "weight": 1.0,
-            "startedAtMs": 0,
-        }
-        for number, port in enumerate(ports, 1)
-    ]
-    return {"generation": 1, "reset": True, "instances": instances}
-
-
 def start_process(tmp_path, folder, listen, peer_port, control, **changed):
     document = {"listen": listen, "discovery": free(), "known": known_workers(peer_port), **changed}
     path = file(tmp_path, **document)
