--- a/mastledge/consensus/leader.py
+++ b/mastledge/consensus/leader.py
@@ -268,7 +268,7 @@
         else:
             reached = self.in_force.compute_without_relays()
         if reached.index > lease.in_force_index and not fan_out:
-            self.progress.schedule_all_now()  # with relays the next heartbeat carries it
+            self.progress.schedule_all_now()  # with relays the next heartbeat has it: nobody acts on it
         lease.record_in_force(reached.index, reached.all_in_force_at)
 
     def promote_learner(self) -> None:
--- a/mastledge/protocol/client_connection.py
+++ b/mastledge/protocol/client_connection.py
@@ -17,7 +17,7 @@
 
 # For a complete request from its first byte; for the first request from the connect.
 REQUEST_TIMEOUT_US = 10_000_000
-MAX_SILENCE_US = 3_000_000  # between two reads of one request
+MAX_SILENCE_US = 3_000_000  # between two reads of one request: some clients write slowly, others never end
 SEND_TIMEOUT_US = 5_000_000  # for a response that the client does not read
 MAX_IDLE_US = 120_000_000
 MIN_UNFINISHED_US = 1_000_000  # before a partial request may be evicted
--- a/mastledge/scheduling/admission.py
+++ b/mastledge/scheduling/admission.py
@@ -13,7 +13,7 @@
 from mastledge.scheduling.traffic import Traffic
 
 RECENT_WAITS = 9  # recent starts whose waits indicate overload
-PRESSURE_RISE_US = 4_000_000  # time over which sustained waits raise the pressure
+PRESSURE_RISE_US = 4_000_000  # time over which a sustained full queue turns into rejections
 MAX_PRESSURE = 0.9
 FADING_JOBS = 4  # mean running times after which a wait counts half
 FIRST_VALUE = 0.5
--- a/mastledge/scheduling/load_reports.py
+++ b/mastledge/scheduling/load_reports.py
@@ -8,7 +8,7 @@
 from mastledge.scheduling.fleet_view import FleetView
 from mastledge.scheduling.state import Launch
 
-MAX_FREE_SLOTS, MAX_BACKLOG = 1e4, 1e6  # higher values are ignored as invalid
+MAX_FREE_SLOTS, MAX_BACKLOG = 1e4, 1e6  # higher values are invalid and must not reach a load curve
 NOISY_REPORTS = 50  # a value seen in at most one of this many reports is noise
 
 
--- a/mastledge/transport/loop.py
+++ b/mastledge/transport/loop.py
@@ -15,7 +15,7 @@
 READ, WRITE, PEER_SHUTDOWN = select.EPOLLIN, select.EPOLLOUT, select.EPOLLRDHUP
 CONNECTION_ENDED = PEER_SHUTDOWN | select.EPOLLHUP | select.EPOLLERR
 MAX_EVENTS = 64  # per poll and iteration; bounds how long priority events wait
-MIN_STALE_TIMERS = 256  # before the timer heap is compacted
+MIN_STALE_TIMERS = 256  # before the timer heap is compacted; fewer are not worth the work
 
 Coroutine = Generator[tuple[int, int, int | None], Any, Any]
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -370,6 +370,7 @@
         ([("a", "1", ReplicaResult.UNSURE), ("b", "1", ReplicaResult.GRANTED)], Verdict.UNSURE),
         # Replica b has lost its disk, and perhaps an answer.
         (
+            # b has lost its data directory, and an answer with it.
             [("a", "1", ReplicaResult.UNSURE), ("b", "2", ReplicaResult.GRANTED)],
             Verdict.NO_QUORUM,
         ),
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -439,7 +439,8 @@
 
 @pytest.mark.parametrize("late", [0, 300_000])
 def test_signal_right_after_ready_finds_the_successor(late, pair, monkeypatch):
-    # Guards against an old process that polls too rarely and shuts down as if there were no successor.
+    # Guards against an old process that polls too rarely (every 0.1 s) and shuts down as if there were no
+    # successor.
     old, new = pair.old.made, pair.new.made
     new.sibling.announce(ready=False)
     assert pair.turn(lambda: old.upgrade_state.shared["ready"] == [old.upgrade_state.seat])
@@ -459,7 +460,8 @@
 
 
 def test_process_handing_over_leaves_most_slow_start_budget_to_successor(pair):
-    # Guards against equal shares until the old process exits, which starve the new process of cold workers.
+    # Guards against equal shares until the old process exits, which starve the new process of cold workers:
+    # it ran 16 jobs a second, then 34 alone.
     old, new = pair.old.made, pair.new.made
     client = pair.new.connect()
     pair.turn(lambda: new.listener.clients)
