Docstrings of the hand-off say when a job stops belonging to the process that exits

Need: read once more, the module's docstring said "until the sibling has accepted it"; it is until the release, which follows.

--- a/mastledge/program/connection_handoff.py
+++ b/mastledge/program/connection_handoff.py
@@ -1,6 +1,7 @@
 """The connection hand-off: a process that exits passes running jobs to its sibling, with both connections.
 
-A job stays here, and is answered here, until the sibling has accepted it (`handed_off_job.py`).
+A job stays in this process, which answers it, until it is released; the sibling has to accept it before
+that (`handed_off_job.py`).
 """
 
 import socket
@@ -24,7 +25,7 @@
 
 
 class ConnectionHandoff:
-    """Hands off running jobs to the process that continues."""
+    """Hands off the running jobs of a process that exits to its sibling, which continues them."""
 
     def __init__(
         self, loop, budget, continue_job: Callable[[HandedOffJob, Sequence[socket.socket]], None], log
--- a/mastledge/program/job_offers.py
+++ b/mastledge/program/job_offers.py
@@ -33,9 +33,9 @@
         return self.launch.ended or not self.job.exchange.open
 
     def release(self) -> "ReleasedJob":
-        """Pass the bytes not parsed yet, and the job, to the sibling; raise OSError if the job stays here.
+        """Release the job to the sibling process, with the unparsed bytes of the answer.
 
-        The channel belongs to the returned job.
+        Raise OSError if that fails; the job then stays in this process. The returned job owns the channel.
         """
         exchange, headed, rest = self.job.exchange, self.launch.headed, self.launch.conn.buffer.peek()
         descriptor_channel.write_memory_file(self.file, rest)
