--- a/review/common-2/stand_ins.py
+++ b/review/common-2/stand_ins.py
@@ -248,7 +248,14 @@
         self.record, self.quiet = record, quiet
 
     def post(  # noqa: PLR0913 - a request has these parts
-        self, address: tuple[str, int], target: str, body: bytes, key: str, remaining_s: float, slack_s: float
+        self,
+        address: tuple[str, int],
+        target: str,
+        body: bytes,
+        key: str,
+        remaining_s: float,
+        slack_s: float,
+        user: str = "",
     ) -> Answer:
         """Send a job and return its answer; a client waits `slack_s` longer than it tells, to be sure."""
         txn = uuid.uuid4().hex[:16]
@@ -258,8 +265,9 @@
         head = (
             f"POST {target} HTTP/1.1\r\nHost: service.internal\r\nX-Txn: {txn}\r\nX-Lane: {lane}\r\n"
             f"X-Remaining-Ms: {int(remaining_s * 1000)}\r\nIdempotency-Key: {key}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n"
+            f"Content-Length: {len(body)}\r\n"
         )
+        head += f"Cookie: user={user}\r\n\r\n" if user else "\r\n"
         try:
             with socket.create_connection(address, timeout=remaining_s + slack_s) as sock:
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
