--- a/review/common-2/stand_ins.py
+++ b/review/common-2/stand_ins.py
@@ -483,17 +483,32 @@
     }
 
 
+def end_case(number: int, frame: Any) -> None:
+    """End the case after a signal, so that its processes are ended too."""
+    raise CaseNotRunError(f"ended by {signal.Signals(number).name}")
+
+
 def main(case: Callable[[Record, Platform, bool], int]) -> None:
     """Run a case and exit with its verdict: 0 held, 1 broken, 2 not run. TROUBLE=0 leaves the trouble out."""
-    record = Record(Path(sys.argv[1]) / "record.txt")
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    record.note("case", trouble=int(trouble))
-    verdict, platform = NOT_RUN, Platform(record)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, end_case)
+    verdict, record, platform = NOT_RUN, None, None
     try:
+        record = Record(Path(sys.argv[1]) / "record.txt")
+        trouble = os.environ.get("TROUBLE", "1") != "0"
+        record.note("case", trouble=int(trouble))
+        platform = Platform(record)
         verdict = case(record, platform, trouble)
-    except (CaseNotRunError, OSError) as error:
-        record.note("not_run", why=str(error).replace(str(platform.folder), "FOLDER"))
+    except Exception as error:
+        # An error of the script says nothing about the rule.
+        if record is not None:
+            why = f"{type(error).__name__}: {error}"
+            folder = str(platform.folder) if platform is not None else ROOT.as_posix()
+            record.note("not_run", why=why.replace(folder, "FOLDER").replace(ROOT.as_posix(), "ROOT"))
     finally:
-        platform.close()
-    record.note("verdict", exit=verdict, means={0: "held", 1: "broken", 2: "not run"}[verdict])
-    sys.exit(verdict)
+        if platform is not None:
+            platform.close()
+    if record is not None:
+        record.note("verdict", exit=verdict, means={0: "held", 1: "broken", 2: "not run"}[verdict])
+    # Threads of clients may still wait for answers that nobody will send.
+    os._exit(verdict)
