Review scripts: ports that the system gives to nobody, one cleanup

Ports for dispatchers come from below the range that Linux gives to connections, so none can take one before its dispatcher does; a second signal can't break the cleanup off, and SIGHUP is handled as SIGTERM is.

--- a/review/common-2/stand_ins.py
+++ b/review/common-2/stand_ins.py
@@ -7,6 +7,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -23,6 +24,9 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+PORTS = 12_000, 32_000  # below those that Linux gives to connections and to port 0 (32768 and up)
+GIVEN_PORTS: set[int] = set()
+ENDING_SIGNALS = signal.SIGTERM, signal.SIGINT, signal.SIGHUP
 PULSE_S = 2.0  # a watch that has nothing to tell gets an empty line this often (real/PROTOCOL.md)
 READY_WITHIN_S = 30.0  # more/mass/STANDING.md, "The gate"
 TERM_TO_KILL_S = 3.7 + 1.0  # SIGKILL comes no sooner than 3 s and 0.7 s after SIGTERM (real/PROTOCOL.md)
@@ -52,11 +56,15 @@
             self.file.flush()
 
 
-def free_address(host: str = "127.0.0.1") -> tuple[str, int]:
-    """Return a loopback address whose port was free just now."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()
+def free_address() -> tuple[str, int]:
+    """Return a loopback address whose port was free just now, and is given to nobody by the system itself."""
+    while True:
+        address = "127.0.0.1", random.randrange(*PORTS)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(address)
+            if address[1] not in GIVEN_PORTS:
+                GIVEN_PORTS.add(address[1])
+                return address
 
 
 def text_of(address: tuple[str, int]) -> str:
@@ -490,7 +498,7 @@
 
 def main(case: Callable[[Record, Platform, bool], int]) -> None:
     """Run a case and exit with its verdict: 0 held, 1 broken, 2 not run. TROUBLE=0 leaves the trouble out."""
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in ENDING_SIGNALS:
         signal.signal(number, end_case)
     verdict, record, platform = NOT_RUN, None, None
     try:
@@ -506,6 +514,8 @@
             folder = str(platform.folder) if platform is not None else ROOT.as_posix()
             record.note("not_run", why=why.replace(folder, "FOLDER").replace(ROOT.as_posix(), "ROOT"))
     finally:
+        for number in ENDING_SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
         if platform is not None:
             platform.close()
     if record is not None:
