--- a/mastledge/scheduling/fleet_view.py
+++ b/mastledge/scheduling/fleet_view.py
@@ -29,6 +29,7 @@
         self.workers: dict = {}
         self.ready: list[Worker] = []
         self.ready_by_name_hash: dict[int, Worker] = {}
+        self._listings = 0  # how many workers were listed so far
         # By worker id as text: excluded by an operator, and when an exclusion was last undone.
         self.excluded, self.readmitted_at = (), {}
 
@@ -70,7 +71,9 @@
         worker, born = self.workers.get(worker_id), max(born, self.readmitted_at.get(str(worker_id), 0))
         if worker is None:
             others = [other.slots for other in self.ready] or [FIRST_SLOTS]
-            worker = self.workers[worker_id] = Worker(worker_id, sum(others) / len(others), born, now)
+            self._listings += 1
+            slots = sum(others) / len(others)
+            worker = self.workers[worker_id] = Worker(worker_id, self._listings, slots, born, now)
         elif born > worker.born:
             worker.begin_incarnation(born, now)
         worker.zone, worker.kind, worker.cell = zone, kind, cell
--- a/mastledge/scheduling/selection.py
+++ b/mastledge/scheduling/selection.py
@@ -67,7 +67,7 @@
         load, late, key = job.load, int(job.variation), job.key
         upper_bound = job.mean + job.variation
         has_reports = self._other_load.any_reported()
-        candidates, homes = self._candidates(special), self._affinity.homes_of(key)
+        candidates, homes = self._candidates(special), frozenset(self._affinity.homes_of(key))
         fewest_seen, most_seen = max(MIN_CONSIDERED, len(subset.members)), subset.max_considered
         ranked, least = [], None
         for seen, worker in enumerate(candidates):
--- a/mastledge/scheduling/state.py
+++ b/mastledge/scheduling/state.py
@@ -15,6 +15,7 @@
     __slots__ = (
         "id",  # given by the host; any hashable value
         "name_hash",  # CRC-32 of the id as text, the same on every dispatcher
+        "number",  # in the order of first listings
         # From the endpoint list.
         "zone",
         "kind",
@@ -50,9 +51,9 @@
         "threshold_drawn_at",
     )
 
-    def __init__(self, worker_id: Hashable, slots: float, born: int, now: int):
+    def __init__(self, worker_id: Hashable, number: int, slots: float, born: int, now: int):
         """Create a worker that was just listed."""
-        self.id, self.slots, self.in_flight, self.state = worker_id, slots, {}, "ready"
+        self.id, self.number, self.slots, self.in_flight, self.state = worker_id, number, slots, {}, "ready"
         self.name_hash, self.curve_sequence = crc32(str(worker_id).encode()), 0
         self.begin_incarnation(born, now)
 
