--- a/mastledge/routing/endpoints.py
+++ b/mastledge/routing/endpoints.py
@@ -17,6 +17,7 @@
         self.by_id: dict[str, WorkerEndpoint] = {}
         self.excluded: frozenset[str] = frozenset()
         self._connections = connections
+        self._gone: set[str] = set()  # ids of workers that are gone and still in the table
 
     def update(self, change: EndpointsChanged) -> list[tuple]:
         """Apply a change, and return its entries in the form that `Scheduler.update_endpoints` takes.
@@ -35,6 +36,8 @@
                 self._connections.close_idle(endpoint)
             endpoint.address, endpoint.state = address, state
             endpoint.started_at = max(started_at, endpoint.started_at)
+            if state == "gone":
+                self._gone.add(worker_id)
             updated.append((zone, endpoint, state, started_at, machine_type, cell, weight))
         if change.kind in WHOLE_LISTS:
             self._mark_gone_except({entry[0] for entry in change.entries})
@@ -42,7 +45,10 @@
 
     def remove_gone(self) -> None:
         """Remove workers that are gone; launches in flight keep their own reference to the endpoint."""
-        self.by_id = {endpoint.id: endpoint for endpoint in self.by_id.values() if endpoint.state != "gone"}
+        for worker_id in self._gone:
+            if self.by_id[worker_id].state == "gone":
+                del self.by_id[worker_id]
+        self._gone.clear()
 
     def exclude(self, excluded: frozenset[str]) -> None:
         """Replace the set of excluded workers."""
@@ -56,4 +62,5 @@
         for endpoint in self.by_id.values():
             if endpoint.id not in listed:
                 endpoint.state = "gone"
+                self._gone.add(endpoint.id)
                 self._connections.close_idle(endpoint)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,10 +1,12 @@
 """Tests of the router, the configuration, the log, the lifecycle phases and the command line."""
 
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
+import time
 from types import SimpleNamespace
 
 import helpers
@@ -348,8 +350,8 @@
 )
 def test_shutdown_finishes_open_jobs_within_its_time_limit(answered, longest, status, tmp_path, monkeypatch):
     times = {"ACCEPT_FOR_US": 20_000, "LONGEST_WAIT_US": longest, "EXIT_MARGIN_US": 50_000}
-    for name, time in times.items():
-        monkeypatch.setattr(graceful_shutdown, name, time)
+    for name, duration_us in times.items():
+        monkeypatch.setattr(graceful_shutdown, name, duration_us)
     monkeypatch.setattr(serving, "FIRST_LIST_TIMEOUT_US", 0)
     peer, sock = peer_at()
     free_socket = listen((HERE, 0))
@@ -523,3 +525,70 @@
         [sys.executable, "-B", "-m", "mastledge", *words], capture_output=True, text=True, env=env
     )
     assert completed.returncode == 2 and completed.stderr == f"mastledge: {says}\n"
+
+
+def listed_entry(number, state="ready", started_at=0):
+    address = (f"127.1.{number // 250 % 250}.{number % 250 + 1}", 1)
+    return (f"w-{number}", address, 0, state, started_at, 0, 0, 1.0)
+
+
+def router_with_list(rig, entries):
+    router, _ = router_with_workers(rig, listed=0)
+    router.on_endpoints_changed(rig.loop.now(), EndpointsChanged("whole", entries))
+    return router
+
+
+def put_job(rig):
+    exchange = Exchange()
+    exchange.answer, exchange.name, exchange.kind = lambda *answer: None, "9b1f", "render"
+    exchange.until = rig.loop.now() + 5_000_000
+    exchange.method, exchange.target, exchange.headers, exchange.body = b"POST", b"/render", [], b""
+    rig.inbox.put(JobArrived(exchange, (0, 100_000, 0, 1.0, 0.0, 0, 5_000_000)))
+
+
+def test_job_behind_many_queued_changes_is_launched_without_a_hold_up():
+    # Guards against a turn that handles thousands of single changes one by one before any job.
+    rig, workers, replaced = Rig(), 3_200, 1_920
+    router = router_with_list(rig, [listed_entry(number) for number in range(workers)])
+    for number in range(replaced):
+        rig.inbox.put(EndpointsChanged("changes", [listed_entry(number, "gone")]))
+        rig.inbox.put(EndpointsChanged("changes", [listed_entry(workers + number)]))
+    put_job(rig)
+    began = time.thread_time()
+    next(router.run())
+    assert time.thread_time() - began < 0.15  # for which a dispatcher may be held up
+    assert not router.faults
+    assert len(router.jobs[1].launches) == 1
+    assert {endpoint.id for endpoint in router.endpoints.values()} == {
+        f"w-{number}" for number in range(replaced, workers + replaced)
+    }
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_queued_changes_lead_to_the_same_list_as_changes_one_by_one(seed):
+    # Guards against a lost, doubled or reordered change where several are handled at once.
+    source, rig, listed = random.Random(seed), Rig(), [listed_entry(number) for number in range(30)]
+    at_once, one_by_one = router_with_list(rig, listed), router_with_list(Rig(), listed)
+    run = at_once.run()
+    next(run)
+    for _ in range(20):
+        changes = [EndpointsChanged("changes", [])] * source.randrange(2)
+        for _ in range(source.randrange(1, 12)):
+            numbers = [source.randrange(40) for _ in range(source.randrange(1, 4))]
+            states = [source.choice(["ready", "ready", "draining", "gone"]) for _ in numbers]
+            entries = [listed_entry(*pair) for pair in zip(numbers, states, strict=True)]
+            kind = "whole" if source.random() < 0.1 else "changes"
+            changes.append(EndpointsChanged(kind, entries))
+        for change in changes:
+            rig.inbox.put(change)
+            one_by_one.on_endpoints_changed(rig.loop.now(), change)
+        next(run)
+        states = [
+            {endpoint.id: endpoint.state for endpoint in router.endpoints.values()}
+            for router in (at_once, one_by_one)
+        ]
+        assert not (at_once.faults or one_by_one.faults)
+        assert states[0] == states[1]
+        ready = [{worker.id.id for worker in router.scheduler.ready} for router in (at_once, one_by_one)]
+        assert ready[0] == ready[1] == {id for id, state in states[0].items() if state == "ready"}
+        assert at_once.endpoint_table.by_id.keys() == states[0].keys()
