Tests: running times, members and long orders are part of what is compared anew

Change: homes are compared after the running time has moved, orders while a fleet grows from 20 to 4,000 workers and shrinks, members after each change and second.

--- a/tests/test_fleet_changes.py
+++ b/tests/test_fleet_changes.py
@@ -66,6 +66,7 @@
         self.scheduler.update_endpoints(self.now, kind, entries)
         gone = [worker for worker in self.scheduler.fleet.workers.values() if worker.state == "gone"]
         assert all(worker.in_flight for worker in gone)
+        self.check_members()
 
     def some(self, most):
         count = self.random.randint(1, most)
@@ -143,6 +144,13 @@
         pull(self.scheduler, self.now)
         self.now += SECOND_US
         self.scheduler.decay(self.now)
+        self.check_members()
+
+    def check_members(self):
+        subset = self.scheduler.subset
+        if subset.has_non_members:
+            ready = ready_anew(self.scheduler.fleet)
+            assert all(worker in ready and not worker.ejections for worker in subset.members)
 
     def check(self):
         """Compare what is kept by difference with the same computed anew."""
@@ -201,16 +209,37 @@
 
 
 def test_homes_are_those_of_the_last_change_before_the_job():
-    # Guards against homes that count the work of jobs which came after the change that set them.
+    # Guards against homes that count work or running times which came after the change that set them.
     deployment = Deployment(1, 40, 30, uneven)
     for step in (Deployment.arrive, Deployment.replace, Deployment.arrive, Deployment.replace):
         step(deployment)
     expected = dict(deployment.expected)
+    deployment.scheduler.estimates.running_time.mean *= 100
     deployment.arrive()
     deployment.hear_of_keys()
     assert deployment.scheduler.affinity.homes == expected
 
 
+def test_orders_follow_a_fleet_that_grows_and_shrinks():
+    # Guards against orders that miss workers after they were shortened or extended.
+    dispatcher, keys = scheduler(workers=20), range(1, 40)
+    assert_orders_as_anew(dispatcher, keys)
+    for first, last in ((20, 300), (300, 301), (301, 1_500), (1_500, 1_501), (1_501, 4_000), (4_000, 4_001)):
+        dispatcher.update_endpoints(0, "changes", [entry(worker) for worker in range(first, last)])
+        assert_orders_as_anew(dispatcher, keys)
+    for first, last in ((0, 1), (1, 2_000), (2_000, 2_001), (2_001, 3_990)):
+        dispatcher.update_endpoints(0, "changes", [entry(worker, "gone") for worker in range(first, last)])
+        assert_orders_as_anew(dispatcher, keys)
+
+
+def assert_orders_as_anew(dispatcher, keys):
+    for key in keys:
+        dispatcher.affinity.homes_of(key)
+        first = dispatcher.affinity.orders.first(key)
+        assert first == order_anew(key, dispatcher.ready)[: len(first)]
+        assert min(8, len(dispatcher.ready)) <= len(first) < 300
+
+
 def test_workers_of_the_same_hash_keep_the_order_of_the_list():
     # Guards against homes that differ between dispatchers for two ids with the same CRC-32.
     assert crc32(b"plumless") == crc32(b"buckeroo")
