--- a/tests/test_fleet_changes.py
+++ b/tests/test_fleet_changes.py
@@ -211,6 +211,7 @@
 def test_homes_are_those_of_the_last_change_before_the_job():
     # Guards against homes that count work or running times which came after the change that set them.
     deployment = Deployment(1, 40, 30, uneven)
+    deployment.scheduler.affinity.add_key_work([(1, 5e7)])  # enough for many homes
     for step in (Deployment.arrive, Deployment.replace, Deployment.arrive, Deployment.replace):
         step(deployment)
     expected = dict(deployment.expected)
