The run of queued changes is taken from the queue beside the table of endpoints

Change: with_following_changes moves from the router to routing/endpoints.py as a function of the change and the queue. Nothing else.

--- a/mastledge/routing/endpoints.py
+++ b/mastledge/routing/endpoints.py
@@ -1,5 +1,6 @@
 """The workers of the endpoint list, with their addresses and idle connections."""
 
+from collections import deque
 from collections.abc import Collection
 
 from mastledge.protocol.events import EndpointsChanged
@@ -7,6 +8,21 @@
 from mastledge.protocol.worker_endpoint import WorkerEndpoint
 
 WHOLE_LISTS = ("whole", "cached")  # kinds of change that name all workers
+CHANGES = "changes"  # kind of a change that names only some workers
+
+
+def with_following_changes(change: EndpointsChanged, queue: deque) -> EndpointsChanged:
+    """Return one change for this one and those at the front of the queue, which are removed from it.
+
+    The scheduler recomputes fleet-wide values for each update, so many single ones would delay the jobs
+    behind them. Any other event, and a list that is whole, ends the run.
+    """
+    if change.kind != CHANGES:
+        return change
+    entries = list(change.entries)
+    while queue and queue[0].__class__ is EndpointsChanged and queue[0].kind == CHANGES:
+        entries.extend(queue.popleft().entries)
+    return EndpointsChanged(CHANGES, entries)
 
 
 class EndpointTable:
--- a/mastledge/routing/router.py
+++ b/mastledge/routing/router.py
@@ -16,7 +16,7 @@
 )
 from mastledge.protocol.worker_connections import WorkerConnections
 from mastledge.protocol.worker_endpoint import WorkerEndpoint
-from mastledge.routing.endpoints import EndpointTable
+from mastledge.routing.endpoints import EndpointTable, with_following_changes
 from mastledge.routing.events import (
     LearnedStateRestored,
     LeaseLapsed,
@@ -42,7 +42,6 @@
 # `Retry-After` of jobs rejected without a lease: another dispatcher probably holds one.
 RETRY_WITHOUT_LEASE_US = 250_000
 LOGGED_ENTRIES = 12  # per change of the endpoint list
-CHANGES = "changes"  # kind of an endpoint list update that names only some workers
 
 
 class Router:
@@ -152,9 +151,7 @@
 
     def on_endpoints_changed(self, now: int, change: EndpointsChanged) -> None:
         """Handle an endpoint list that was read or has changed, with the changes right behind it."""
-        if change.kind == CHANGES:
-            change = self._with_following_changes(change)
-        kind, entries = change
+        kind, entries = change = with_following_changes(change, self.inbox.items)
         self.scheduler.update_endpoints(now, kind, self.endpoint_table.update(change))
         self.endpoint_table.remove_gone()
         if entries:
@@ -166,18 +163,6 @@
         if self.on_endpoint_list is not None:
             self.on_endpoint_list(kind, entries)
 
-    def _with_following_changes(self, change: EndpointsChanged) -> EndpointsChanged:
-        """Return one change for this one and those right behind it in the queue, which are removed.
-
-        The scheduler recomputes fleet-wide values for each update, so many single ones would delay the jobs
-        that came meanwhile.
-        """
-        items = self.inbox.items
-        entries = list(change.entries)
-        while items and items[0].__class__ is EndpointsChanged and items[0].kind == CHANGES:
-            entries.extend(items.popleft().entries)
-        return EndpointsChanged(CHANGES, entries)
-
     def on_job_arrived(self, now: int, event: JobArrived) -> None:
         """Handle a job that was admitted."""
         job = self.job_table.add(event.exchange, now)
